Take a cold time shorter than the fall time without a panic

Ruled out: the proxy's own code, for the simulator's adapter has the same line. Test: a_cold_time_shorter_than_the_fall_time_does_not_panic, which fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -310,8 +310,9 @@
         let warmth = (self.warmth(s, at) + self.warmth(s, self.now)) / 2.0;
         // Where nothing was served yet: one send from all routers together.
         let floor = 1.0 / (f64::from(self.set.routers) * self.set.fall_time.max(1) as f64);
-        let span = (self.now - self.served.1).clamp(self.set.fall_time, self.set.cold_time).max(1);
-        let span = if self.usual > 0.0 { self.set.cold_time } else { span };
+        // A day may be so brisk that servers are warm before they can fall over.
+        let span = (self.now - self.served.1).min(self.set.cold_time).max(self.set.fall_time);
+        let span = if self.usual > 0.0 { self.set.cold_time } else { span }.max(1);
         let pace = self.usual.max(self.served.0 / self.ready_count as f64) / span as f64;
         let pace = (COLD_USE * self.set.fall_multiple * warmth * pace).max(floor);
         (left + pace * (self.now - at) as f64).min((pace * self.set.fall_time as f64).max(1.0))
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -64,3 +64,14 @@
     let wake = out.iter().find_map(after).expect("a timer");
     assert!(wake <= 200 * MS, "it is tried again soon, not after {wake} us");
 }
+
+#[test]
+fn a_cold_time_shorter_than_the_fall_time_does_not_panic() {
+    let mut s = settings();
+    (s.cold_time, s.fall_time) = (1_000 * MS, 1_500 * MS);
+    let mut rig = Rig::bare(s);
+    let started = Some(rig.now);
+    rig.list(&[P, R1].map(|id| Member { started, ..member(id, MemberState::Ready) }));
+    let sent: usize = (0..20).map(|_| sends(&rig.ask(ANY).1).len() + sends(&rig.pass(100 * MS)).len()).sum();
+    assert!(sent > 0, "a cold server of its group's only ones gets its part");
+}
