Read the configuration again at SIGHUP and follow discovery to its new address

Checked: the program caught SIGTERM and SIGINT only (net/mod.rs, run), and only after the configuration was read, so that SIGHUP ended it at any time. Ruled out: a crash of its own. Now the signals are caught before all else in main. The file is read and checked whole; a bad one is logged and changes nothing. A new address of discovery is called at once, for what is newer than was told. What only a restart brings into force is named in the log. Tests: exchange reload; a_hangup_before_the_start_is_over_does_not_end_the_program (a pipe holds the start up). Both end with the process dead without the change.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,4 +1,4 @@
-//! What the proxy is told at its start: `RELAY_CONFIG` names a JSON file; `RELAY_NAME`,
+//! What the proxy is told at its start, and again at each SIGHUP: `RELAY_CONFIG` names a JSON file; `RELAY_NAME`,
 //! `RELAY_LISTEN` and `RELAY_DISCOVERY` stand in for what that file leaves out.
 
 use crate::discovery::Update;
@@ -24,6 +24,24 @@
     pub site: Site,
 }
 
+impl Config {
+    /// What another configuration has otherwise and only a restart brings into force. `known` and `seed`
+    /// are for the start alone.
+    pub fn differs(&self, new: &Config) -> Vec<&'static str> {
+        let parts = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", self.sockets != new.sockets),
+            ("settings", self.site != new.site),
+        ];
+        parts.into_iter().filter_map(|(part, other)| other.then_some(part)).collect()
+    }
+}
+
+pub fn environment(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 /// Reads the configuration; the error is one plain line.
 pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let path = env("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set: it must name the configuration file")?;
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -90,6 +90,11 @@
         Watch { host, rev, input: Vec::new() }
     }
 
+    /// Another host tells the list from now on, with the same versions.
+    pub fn moved(&mut self, host: String) {
+        self.host = host;
+    }
+
     /// The next call, on a connection that owes no answer; a new one starts here too.
     pub fn call(&mut self) -> Vec<u8> {
         self.input.clear();
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -9,15 +9,13 @@
 mod pg;
 
 fn main() {
-    let config = match config::load(|name| std::env::var(name).ok()) {
-        Ok(config) => config,
-        Err(message) => {
-            eprintln!("birchreach-proxy: {message}");
-            std::process::exit(2);
-        }
-    };
-    if let Err(message) = net::run(config) {
-        eprintln!("birchreach-proxy: {message}");
-        std::process::exit(1);
-    }
+    // Before all else: until they are caught, signals end the process.
+    let signals = net::signals().unwrap_or_else(|message| quit(&message, 1));
+    let config = config::load(config::environment).unwrap_or_else(|message| quit(&message, 2));
+    net::run(config, signals).unwrap_or_else(|message| quit(&message, 1));
+}
+
+fn quit(message: &str, code: i32) -> ! {
+    eprintln!("birchreach-proxy: {message}");
+    std::process::exit(code)
 }
--- a/proxy/src/net/agent.rs
+++ b/proxy/src/net/agent.rs
@@ -45,6 +45,19 @@
         }
     }
 
+    /// Discovery is to be found elsewhere: it is called there at once, for what is newer than what was
+    /// told before.
+    pub fn moved(&mut self, cx: &mut Cx, address: SocketAddr) {
+        if self.address == address {
+            return;
+        }
+        self.address = address;
+        self.watch.moved(address.to_string());
+        self.wait = FIRST_WAIT;
+        self.hang_up(cx, "moved");
+        self.call(cx);
+    }
+
     /// Makes the next call, on a new connection where there is none.
     pub fn call(&mut self, cx: &mut Cx) {
         self.turn += 1;
@@ -78,11 +91,15 @@
         }
     }
 
-    fn failed(&mut self, cx: &mut Cx, reason: &str) {
+    fn hang_up(&mut self, cx: &mut Cx, reason: &str) {
         if let Some(mut stream) = self.stream.take() {
             let _ = cx.registry.deregister(&mut stream);
         }
         log!("conn=discovery reason=\"{reason}\"");
+    }
+
+    fn failed(&mut self, cx: &mut Cx, reason: &str) {
+        self.hang_up(cx, reason);
         self.turn += 1;
         cx.timers.set(cx.now + self.wait, Due::AgentCall(self.turn));
         self.wait = (self.wait * 2).min(LONGEST_WAIT);
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -7,7 +7,7 @@
 mod stream;
 mod timers;
 
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::core::{Attempt, Command, Core};
 use crate::discovery::Update;
 use crate::log::log;
@@ -16,7 +16,7 @@
 use clients::Clients;
 use mio::{Events, Poll, Token};
 use pool::{Cx, Pool, Work};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::io::ErrorKind;
 use timers::{Clock, Timers};
@@ -62,15 +62,20 @@
     clients: Clients,
     pool: Pool,
     agent: Agent,
+    config: Config,
     longest_deadline: Micros,
     stopping: bool,
     left: bool,
 }
 
+/// From here on signals wait for the loop instead of ending the process.
+pub fn signals() -> Result<Signals, String> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("no signals: {e}"))
+}
+
 /// Serves until told to stop.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(mut config: Config, mut signals: Signals) -> Result<(), String> {
     let poll = Poll::new().map_err(|e| format!("no poll: {e}"))?;
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("no signals: {e}"))?;
     let watched = poll.registry().register(&mut signals, SIGNALS, mio::Interest::READABLE);
     watched.map_err(|e| format!("watching signals: {e}"))?;
     let clock = Clock::new();
@@ -78,6 +83,7 @@
     let free = config.sockets - OWN_SOCKETS;
     let for_databases = free / 3;
     let clients = Clients::new(poll.registry(), config.listen, &config.site, free - for_databases)?;
+    let known = config.known.take();
     let deadlines = config.site.module.classes.iter().map(|c| c.deadline);
     let mut proxy = Proxy {
         clock,
@@ -87,15 +93,17 @@
         scratch: vec![0; 64 << 10],
         clients,
         pool: Pool::new(&config.site, for_databases),
-        agent: Agent::new(config.discovery, config.known.as_ref().map(|known| known.rev)),
+        agent: Agent::new(config.discovery, known.as_ref().map(|known| known.rev)),
         longest_deadline: deadlines.max().unwrap_or(0),
+        config,
         stopping: false,
         left: false,
         poll,
     };
-    let listen = proxy.clients.address().unwrap_or(config.listen);
-    log!("event=started name={} listen={listen} discovery={}", config.name, config.discovery);
-    if let Some(known) = config.known {
+    let listen = proxy.clients.address().unwrap_or(proxy.config.listen);
+    let Config { name, discovery, .. } = &proxy.config;
+    log!("event=started name={name} listen={listen} discovery={discovery}");
+    if let Some(known) = known {
         proxy.members(Update { all: true, ..known });
     }
     proxy.timers.set(now + SWEEP, Due::Sweep);
@@ -136,8 +144,11 @@
             match event.token() {
                 LISTENER => self.clients.knock(),
                 SIGNALS => {
-                    if signals.pending().count() > 0 {
-                        self.stop();
+                    for signal in signals.pending() {
+                        match signal {
+                            SIGHUP => self.reload(),
+                            _ => self.stop(),
+                        }
                     }
                 }
                 AGENT => {
@@ -216,6 +227,19 @@
         self.carry_out();
     }
 
+    /// Reads the configuration again, whole; one that is bad changes nothing. Where discovery is to be
+    /// found changes at once, all else with a restart.
+    fn reload(&mut self) {
+        let new = match config::load(config::environment) {
+            Ok(new) => new,
+            Err(message) => return log!("event=reload-failed error=\"{message}\""),
+        };
+        let rest = self.config.differs(&new).join(",");
+        log!("event=reloaded discovery={} needs-restart={rest}", new.discovery);
+        self.config.discovery = new.discovery;
+        self.with(|_, _, agent, cx| agent.moved(cx, new.discovery));
+    }
+
     fn stop(&mut self) {
         if !std::mem::replace(&mut self.stopping, true) {
             log!("event=stopping open={}", self.core.open_requests());
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -23,6 +23,8 @@
     open: HashMap<String, TcpStream>,
     names: HashMap<String, Bytes>,
     log_seen: String,
+    /// The configuration's file and text.
+    config: (String, String),
 }
 
 impl Drop for Player {
@@ -55,13 +57,13 @@
             descriptors = line.strip_prefix("descriptors ").unwrap_or(descriptors);
         }
         let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
-        std::fs::write(&path, config).unwrap();
+        std::fs::write(&path, &config).unwrap();
         let mut program = Command::new("/bin/sh")
             .args([
                 "-c",
                 &format!("ulimit -n {descriptors}; exec '{}'", env!("CARGO_BIN_EXE_birchreach-proxy")),
             ])
-            .env("RELAY_CONFIG", path)
+            .env("RELAY_CONFIG", &path)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -71,7 +73,8 @@
         let started = log.recv_timeout(PATIENCE).unwrap();
         let listen = started.split(' ').find_map(|w| w.strip_prefix("listen=")).unwrap().parse().unwrap();
         let names = LISTENERS.map(|l| (l.to_string(), plain(&address(l)))).into_iter().collect();
-        Player { program, log, proxy: listen, listeners, open: HashMap::new(), names, log_seen: started }
+        let (open, config) = (HashMap::new(), (path, config));
+        Player { program, log, proxy: listen, listeners, open, names, log_seen: started, config }
     }
 
     /// `c` and a number: a client, which connects. `p.2`: the second connection that `p` accepts.
@@ -93,6 +96,17 @@
         let (deed, rest) = rest.split_once(' ').unwrap_or((rest, ""));
         match (party, deed) {
             ("config" | "descriptors", _) => {}
+            ("reload", _) => {
+                let (path, text) = &self.config;
+                let (old, new) = line.strip_prefix("reload ").unwrap().split_once(" => ").unwrap();
+                let address = |l: &str| self.listeners[l].local_addr().unwrap().to_string();
+                let named =
+                    |text: &str| text.replace("$agent", &address("agent")).replace("$q", &address("q"));
+                assert!(text.contains(&named(old)), "{line}");
+                std::fs::write(path, text.replacen(&named(old), &named(new), 1)).unwrap();
+                let pid = self.program.id().to_string();
+                assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+            }
             ("define", name) => {
                 let bytes = self.bytes(rest);
                 self.names.insert(name.to_string(), bytes);
@@ -239,7 +253,7 @@
 exchanges! {
     read write split pipelined encryption extended forms miss reset refused full cancel
     drain moved probe shed descriptors
-    flood hang idle gone silent_probe large stopping agent late_answer malformed
+    flood hang idle gone silent_probe large stopping agent late_answer malformed reload
 }
 
 /// Starts the program on a configuration, which it is to refuse.
@@ -273,3 +287,29 @@
         assert!(text.lines().count() == 1 && text.contains(names) && !text.contains("panicked"), "{text}");
     }
 }
+
+/// The reader of a pipe is there only once the program has come to read its configuration: a signal that
+/// comes then waits until it serves.
+#[test]
+fn a_hangup_before_the_start_is_over_does_not_end_the_program() {
+    let path = format!("{}/early", env!("CARGO_TARGET_TMPDIR"));
+    let _ = std::fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut program = Command::new(env!("CARGO_BIN_EXE_birchreach-proxy"))
+        .env("RELAY_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    std::fs::write(&path, "{").unwrap();
+    assert!(Command::new("kill").args(["-HUP", &program.id().to_string()]).status().unwrap().success());
+    let config = include_str!("exchanges/config.json").replace("$agent", "127.0.0.1:1");
+    pipe.write_all(config.as_bytes()).unwrap();
+    drop(pipe);
+    let lines = BufReader::new(program.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let seen = lines.take(40).any(|l| l.starts_with("event=reload-failed"));
+    let _ = program.kill();
+    let _ = program.wait();
+    assert!(seen, "it goes on, and keeps the configuration that it has");
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 /// What the module is told, and what its hosts need to know besides.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Site {
     /// The module's own part.
     pub module: Settings,
