Check answers whole before any of them goes on; retire connections with surplus bytes

Wrong were codec.rs (columns: bytes behind the last column, absent values and several columns taken; unknown tags skipped), backend.rs (hear: rows without a description, answers without a row; report: a part that cannot be read was left out, the rest believed) and pool.rs (settle put a connection back though more had come; a spoilt answer was reported as a reset, which calls its server silent). Ruled out: values above the limit. Now the parts of an answer come in order, once each, and account for every byte; a spoilt one is an error of a server that lives, and its connection is closed. What comes behind a good answer retires the connection; what a database says of itself and cannot be read tells nothing. The toy sends values in binary form, too. Tests: exchanges spoilt, surplus, unreadable_report; all three fail without the change. Not known: text rows are no longer passed on, as the protocol has binary ones only.

--- a/example/toy/src/main.rs
+++ b/example/toy/src/main.rs
@@ -115,10 +115,10 @@
     }
 }
 
-/// A result of one row with one column, as text.
+/// A result of one row with one column, said to be in binary form as databases have it.
 fn row(value: &str) -> Vec<u8> {
     let length = (value.len() as u32).to_be_bytes();
-    let column = [&[0, 1][..], b"blob\0", &[0; 6], &[0, 0, 0, 17], &[255; 6], &[0, 0]].concat();
+    let column = [&[0, 1][..], b"blob\0", &[0; 6], &[0, 0, 0, 17], &[255; 6], &[0, 1]].concat();
     let data = [&[0, 1][..], &length, value.as_bytes()].concat();
     [message(b'T', &column), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
 }
--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -24,7 +24,7 @@
 /// A value as a database made it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Value {
-    pub bytes: Option<Vec<u8>>,
+    pub bytes: Vec<u8>,
     /// In the databases' binary form, not as text.
     pub binary: bool,
 }
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -89,8 +89,11 @@
             // The end of an idle connection may have come in with the event that led here: written to
             // it, the query would count as one that may have run.
             if self.read(cx, key) {
-                self.ask(cx, key, job);
-                return;
+                if self.slots[key].machine.clean() {
+                    self.ask(cx, key, job);
+                    return;
+                }
+                self.close(cx, key, "surplus");
             }
         }
         match self.open(cx, server) {
@@ -185,7 +188,10 @@
     fn settle(&mut self, cx: &mut Cx, key: usize) {
         let c = &mut self.slots[key];
         (c.job, c.asked, c.written, c.idle_since) = (None, false, false, cx.now);
-        if cx.core.address(c.server) == Some(c.address) {
+        if !c.machine.clean() {
+            // More than its answer: nobody can tell any more which query the next bytes belong to.
+            self.close(cx, key, "surplus");
+        } else if cx.core.address(c.server) == Some(c.address) {
             self.idle.entry(c.server).or_default().push(key);
         } else {
             self.close(cx, key, "moved");
@@ -285,7 +291,13 @@
                 false
             }
             Heard::Nonsense => {
-                self.end(cx, key, "nonsense");
+                let spoilt = self.slots[key].written;
+                let job = self.close(cx, key, "nonsense");
+                // The query has run and its answer is lost, but its server lives.
+                let ending = if spoilt { Ending::Error } else { Ending::ConnectFailed };
+                if let Some(job) = job {
+                    self.report(cx, job, Reply::bare(ending));
+                }
                 false
             }
         }
--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -31,12 +31,23 @@
     Nonsense,
 }
 
+/// An answer holds these, in this order and once each, or an error at any point before its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Part {
+    #[default]
+    Nothing,
+    Description,
+    Row,
+    /// The whole answer, or an error: only ReadyForQuery is missing.
+    Whole,
+}
+
 /// An answer, as far as it has come.
 #[derive(Default)]
 struct Partial {
-    binary: bool,
-    row: Option<Vec<Option<Vec<u8>>>>,
-    complete: bool,
+    part: Part,
+    bytes: usize,
+    value: Option<Value>,
     error: Option<String>,
     role: Option<Role>,
     position: Option<Micros>,
@@ -78,30 +89,32 @@
 
     pub fn next(&mut self) -> Option<Heard> {
         while self.phase != Phase::Over {
-            let message = match self.inbox.message(MAX_REPLY) {
+            let heard = match self.inbox.from_server() {
                 Ok(None) => {
                     self.inbox.shrink();
                     return None;
                 }
-                Ok(Some((tag, body))) => FromServer::decode(tag, body),
+                Ok(Some((message, bytes))) => self.hear(message, bytes),
                 Err(e) => Err(e),
             };
-            let heard = message.and_then(|m| self.hear(m));
             match heard {
                 Ok(None) => {}
                 Ok(Some(heard)) => return Some(heard),
-                Err(_) => {
-                    self.phase = Phase::Over;
-                    return Some(Heard::Nonsense);
-                }
+                // Noise right behind a whole answer does not spoil it, only the connection.
+                Err(_) => return Some(self.ended().unwrap_or(Heard::Nonsense)),
             }
         }
         None
     }
 
-    /// The connection has ended. An answer that was whole but for the last message still counts.
+    /// Nothing has come that was not asked for: the connection may carry another query.
+    pub fn clean(&self) -> bool {
+        self.phase == Phase::Idle && self.inbox.len() == 0
+    }
+
+    /// The connection is over. An answer that was whole but for the last message still counts.
     pub fn ended(&mut self) -> Option<Heard> {
-        let whole = self.partial.complete || self.partial.error.is_some();
+        let whole = self.partial.part == Part::Whole;
         match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Request if whole => Some(Heard::Done(self.reply(false))),
             Phase::Probe if whole => Some(Heard::Done(self.reply(true))),
@@ -109,34 +122,48 @@
         }
     }
 
-    fn hear(&mut self, message: FromServer) -> Result<Option<Heard>, Malformed> {
+    fn hear(&mut self, message: FromServer, bytes: usize) -> Result<Option<Heard>, Malformed> {
         let asked = matches!(self.phase, Phase::Request | Phase::Probe);
+        self.partial.bytes += bytes;
+        if self.partial.bytes > 2 * MAX_REPLY {
+            return Err(Malformed::TooLong);
+        }
+        let part = self.partial.part;
         match message {
-            FromServer::Skipped | FromServer::Authentication(0) => {}
+            FromServer::Skipped => {}
+            FromServer::Authentication(0) if self.phase == Phase::Startup => {}
             FromServer::Authentication(_) => return Err(Malformed::Bad("a password is wanted")),
             FromServer::ParameterStatus { name, value } => match name.as_str() {
                 "server_role" => self.partial.role = role(&value),
                 "commit_clock" => self.partial.position = millis(&value),
                 _ => {}
             },
-            FromServer::Error { code } => {
+            FromServer::Error { code } if self.phase == Phase::Startup => {
                 self.partial.error = Some(code);
-                if self.phase == Phase::Startup {
-                    self.phase = Phase::Over;
-                    return Ok(Some(Heard::TurnedAway(self.reply(false))));
-                }
+                self.phase = Phase::Over;
+                return Ok(Some(Heard::TurnedAway(self.reply(false))));
             }
-            FromServer::RowDescription { columns: 1, binary } if asked => self.partial.binary = binary,
-            FromServer::DataRow(row) if asked && self.partial.row.is_none() => self.partial.row = Some(row),
-            FromServer::CommandComplete if asked => self.partial.complete = true,
-            FromServer::ReadyForQuery => {
-                let was = std::mem::replace(&mut self.phase, Phase::Idle);
-                return Ok(match was {
-                    Phase::Startup => Some(Heard::Ready),
-                    Phase::Request => Some(Heard::Done(self.reply(false))),
-                    Phase::Probe => Some(Heard::Done(self.reply(true))),
-                    Phase::Idle | Phase::Over => return Err(Malformed::Bad("an answer to nothing")),
-                });
+            FromServer::Error { code } if asked && part != Part::Whole => {
+                (self.partial.error, self.partial.part) = (Some(code), Part::Whole);
+            }
+            // Values come in binary form.
+            FromServer::RowDescription { binary }
+                if part == Part::Nothing && asked && (binary || self.phase == Phase::Probe) =>
+            {
+                self.partial.part = Part::Description;
+            }
+            FromServer::DataRow(bytes) if part == Part::Description => {
+                let binary = self.phase == Phase::Request;
+                (self.partial.value, self.partial.part) = (Some(Value { bytes, binary }), Part::Row);
+            }
+            FromServer::CommandComplete if part == Part::Row => self.partial.part = Part::Whole,
+            FromServer::ReadyForQuery if self.phase == Phase::Startup => {
+                (self.phase, self.partial) = (Phase::Idle, Partial::default());
+                return Ok(Some(Heard::Ready));
+            }
+            FromServer::ReadyForQuery if part == Part::Whole => {
+                let probe = std::mem::replace(&mut self.phase, Phase::Idle) == Phase::Probe;
+                return Ok(Some(Heard::Done(self.reply(probe))));
             }
             _ => return Err(Malformed::Bad("a message out of place")),
         }
@@ -146,32 +173,37 @@
     /// Puts together what has come. The note is kept with whatever the query came to: a miss tells
     /// the role too.
     fn reply(&mut self, probe: bool) -> Reply {
-        let Partial { binary, row, complete, error, role, position } = take(&mut self.partial);
-        let value = row.and_then(|row| <[_; 1]>::try_from(row).ok()).map(|[bytes]| Value { bytes, binary });
+        let Partial { value, error, role, position, .. } = take(&mut self.partial);
         let note = role.map(|role| Note { role, position });
         let ending = match error.as_deref() {
             Some(sqlstate::READ_ONLY | sqlstate::SNAPSHOT_TOO_OLD) => Ending::Miss,
             Some(sqlstate::TOO_MANY_CONNECTIONS) => Ending::Full,
             Some(_) => Ending::Error,
-            None if complete && value.is_some() => Ending::Ok,
-            None => Ending::Error,
+            None => Ending::Ok,
         };
         let report = value.as_ref().filter(|_| probe && ending == Ending::Ok).and_then(|v| self.report(v));
         Reply { ending, value: value.filter(|_| ending == Ending::Ok && !probe), note, report }
     }
 
-    /// A report as `x0=1767225600123,x1=1`.
+    /// A report as `x0=1767225600123,x1=1`. One that cannot be read in all its parts is none.
     fn report(&self, value: &Value) -> Option<Report> {
-        let text = std::str::from_utf8(value.bytes.as_deref()?).ok()?;
-        let field = |wanted: &Option<String>| {
-            let wanted = wanted.as_deref()?;
+        let text = std::str::from_utf8(&value.bytes).ok()?;
+        let field = |wanted: &str| {
             let (_, value) =
                 text.split(',').filter_map(|f| f.split_once('=')).find(|(name, _)| *name == wanted)?;
-            value.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+            value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
+        };
+        let role = match self.report.1.as_deref().map(field) {
+            None => None,
+            Some(Some(1.0)) => Some(Role::Primary),
+            Some(Some(0.0)) => Some(Role::Replica),
+            Some(_) => return None,
+        };
+        let position = match self.report.0.as_deref().map(field) {
+            None => None,
+            // Rounded down: never read as later than it was.
+            Some(ms) => Some((ms? * 1000.0).floor() as Micros),
         };
-        let role = field(&self.report.1).map(|v| if v >= 0.5 { Role::Primary } else { Role::Replica });
-        // Rounded down: never read as later than it was.
-        let position = field(&self.report.0).map(|ms| (ms * 1000.0).floor() as Micros);
         Some(Report { position, role })
     }
 }
@@ -185,5 +217,5 @@
 }
 
 fn millis(word: &str) -> Option<Micros> {
-    word.parse::<Micros>().ok()?.checked_mul(1000)
+    word.parse::<Micros>().ok().filter(|ms| *ms >= 0)?.checked_mul(1000)
 }
--- a/proxy/src/pg/codec.rs
+++ b/proxy/src/pg/codec.rs
@@ -4,10 +4,15 @@
 
 /// The longest message of a client: a value of 64 KiB in hex, and the statement round it.
 pub const MAX_QUERY: usize = (128 << 10) + 4096;
-/// The longest message of a database: a value of 64 KiB, as text at worst.
-pub const MAX_REPLY: usize = (128 << 10) + 4096;
+/// The longest value.
+pub const MAX_VALUE: usize = 64 << 10;
+/// The longest message of a database: a value and what goes round it.
+pub const MAX_REPLY: usize = MAX_VALUE + 4096;
 /// As PostgreSQL itself has it.
 const MAX_STARTUP: usize = 10_000;
+/// Tags of the messages that a client or a database may send.
+const CLIENT_TAGS: &[u8] = b"QPBDECFSHdcfX";
+const SERVER_TAGS: &[u8] = b"RSZTDCIENAKv";
 
 /// What no stream of this protocol holds, or more than is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,14 +61,28 @@
         Some(&self.buf[from..end])
     }
 
-    /// The next message: its tag and body.
-    pub fn message(&mut self, most: usize) -> Result<Option<(u8, &[u8])>, Malformed> {
+    /// The next message: its tag and body. A tag that nobody sends is no message, whatever follows.
+    fn message(&mut self, tags: &[u8], most: usize) -> Result<Option<(u8, &[u8])>, Malformed> {
         let Some(&tag) = self.buf.get(self.at) else { return Ok(None) };
+        if !tags.contains(&tag) {
+            return Err(Malformed::Bad("an unknown message"));
+        }
         let start = self.at + 1;
         let Some(length) = self.length(start, 4, most)? else { return Ok(None) };
         Ok(self.take(start + 4, start + length).map(|body| (tag, body)))
     }
 
+    pub fn from_client(&mut self) -> Result<Option<FromClient>, Malformed> {
+        let message = self.message(CLIENT_TAGS, MAX_QUERY)?;
+        message.map(|(tag, body)| FromClient::decode(tag, body)).transpose()
+    }
+
+    /// The next message, and the bytes that it took.
+    pub fn from_server(&mut self) -> Result<Option<(FromServer, usize)>, Malformed> {
+        let message = self.message(SERVER_TAGS, MAX_REPLY)?;
+        message.map(|(tag, body)| Ok((FromServer::decode(tag, body)?, body.len() + 5))).transpose()
+    }
+
     /// The first message of a connection, which has no tag.
     pub fn startup(&mut self) -> Result<Option<Startup>, Malformed> {
         let start = self.at;
@@ -125,7 +144,7 @@
     }
 
     /// A result of one row with one column.
-    pub fn row(&mut self, column: &str, binary: bool, value: Option<&[u8]>, tag: &str) {
+    pub fn row(&mut self, column: &str, binary: bool, value: &[u8], tag: &str) {
         const BYTEA: u32 = 17;
         self.message(b'T', |b| {
             b.extend_from_slice(&1u16.to_be_bytes());
@@ -138,9 +157,8 @@
         });
         self.message(b'D', |b| {
             b.extend_from_slice(&1u16.to_be_bytes());
-            let length = value.map_or(-1, |v| i32::try_from(v.len()).unwrap_or(i32::MAX));
-            b.extend_from_slice(&length.to_be_bytes());
-            b.extend_from_slice(value.unwrap_or_default());
+            b.extend_from_slice(&(value.len() as u32).to_be_bytes());
+            b.extend_from_slice(value);
         });
         self.message(b'C', |b| text(b, tag));
     }
@@ -247,11 +265,10 @@
     /// Allowed at any time, and without effect here.
     Flush,
     Terminate,
-    Unknown(u8),
 }
 
 impl FromClient {
-    pub fn decode(tag: u8, body: &[u8]) -> Result<FromClient, Malformed> {
+    fn decode(tag: u8, body: &[u8]) -> Result<FromClient, Malformed> {
         Ok(match tag {
             b'Q' => match cut(body) {
                 Some((query, [])) => FromClient::Query(query.to_vec()),
@@ -263,7 +280,7 @@
             // The remains of a copy that never began are dropped, as PostgreSQL drops them.
             b'H' | b'd' | b'c' | b'f' => FromClient::Flush,
             b'X' => FromClient::Terminate,
-            tag => FromClient::Unknown(tag),
+            _ => return Err(Malformed::Bad("an unknown message")),
         })
     }
 }
@@ -277,14 +294,13 @@
         value: String,
     },
     ReadyForQuery,
-    /// The number of columns, and whether the first is in binary form.
+    /// Of one column, in binary form or as text.
     RowDescription {
-        columns: u16,
         binary: bool,
     },
-    DataRow(Vec<Option<Vec<u8>>>),
+    /// A row of one column that holds a value.
+    DataRow(Vec<u8>),
     CommandComplete,
-    EmptyQueryResponse,
     Error {
         code: String,
     },
@@ -293,65 +309,70 @@
 }
 
 impl FromServer {
-    pub fn decode(tag: u8, body: &[u8]) -> Result<FromServer, Malformed> {
-        let cut_short = Malformed::Bad("a message cut short");
+    /// Every byte of what an answer is made of must be accounted for: nothing of it goes on by halves.
+    fn decode(tag: u8, body: &[u8]) -> Result<FromServer, Malformed> {
+        let spoilt = Malformed::Bad("a message whose parts do not fit it");
         Ok(match tag {
-            b'R' => FromServer::Authentication(be32(body).ok_or(cut_short)?),
-            b'S' => {
-                let (name, rest) = cut(body).ok_or(cut_short)?;
-                let (value, _) = cut(rest).ok_or(cut_short)?;
-                FromServer::ParameterStatus { name: lossy(name), value: lossy(value) }
-            }
-            b'Z' => FromServer::ReadyForQuery,
-            b'T' => {
-                let columns = be16(body).ok_or(cut_short)?;
-                // Behind the name: table, column, type, length, modifier, and then the form.
-                let form = if columns == 0 {
-                    Some(0)
-                } else {
-                    cut(&body[2..]).and_then(|(_, r)| be16(r.get(16..)?))
-                };
-                FromServer::RowDescription { columns, binary: form.ok_or(cut_short)? == 1 }
-            }
-            b'D' => FromServer::DataRow(columns(body).ok_or(cut_short)?),
-            b'C' => FromServer::CommandComplete,
-            b'I' => FromServer::EmptyQueryResponse,
-            b'E' => {
-                let (mut code, mut rest) = (String::new(), body);
-                while let Some((tag, after)) = rest.split_first().filter(|(tag, _)| **tag != 0) {
-                    let (value, next) = cut(after).ok_or(cut_short)?;
-                    if *tag == b'C' {
-                        code = lossy(value);
-                    }
-                    rest = next;
-                }
-                FromServer::Error { code }
-            }
-            _ => FromServer::Skipped,
+            b'R' => FromServer::Authentication(be32(body).ok_or(spoilt)?),
+            // What a database says of itself beside the answer spoils no answer: unread, it tells nothing.
+            b'S' => match cut(body).and_then(|(name, rest)| Some((name, cut(rest)?.0))) {
+                Some((name, value)) => FromServer::ParameterStatus { name: lossy(name), value: lossy(value) },
+                None => FromServer::Skipped,
+            },
+            b'Z' => match body {
+                b"I" | b"T" | b"E" => FromServer::ReadyForQuery,
+                _ => return Err(spoilt),
+            },
+            b'T' => FromServer::RowDescription { binary: description(body).ok_or(spoilt)? },
+            b'D' => FromServer::DataRow(value(body).ok_or(spoilt)?.to_vec()),
+            b'C' => match cut(body) {
+                Some((_, [])) => FromServer::CommandComplete,
+                _ => return Err(spoilt),
+            },
+            b'E' => FromServer::Error { code: code(body).ok_or(spoilt)? },
+            b'N' | b'A' | b'K' | b'v' => FromServer::Skipped,
+            _ => return Err(Malformed::Bad("a message out of place")),
         })
     }
 }
 
-fn be16(b: &[u8]) -> Option<u16> {
-    Some(u16::from_be_bytes(b.get(..2)?.try_into().ok()?))
+/// The form of the one column that is described: whether it is binary.
+fn description(body: &[u8]) -> Option<bool> {
+    // Behind the name: table, column, type, length, modifier, and then the form.
+    let (_, field) = cut(body.strip_prefix(&[0, 1])?)?;
+    let form = <[u8; 18]>::try_from(field).ok()?;
+    match form[16..] {
+        [0, form @ (0 | 1)] => Some(form == 1),
+        _ => None,
+    }
 }
 
-fn be32(b: &[u8]) -> Option<u32> {
-    Some(u32::from_be_bytes(b.get(..4)?.try_into().ok()?))
+/// The value of a row's one column, which fills the message to its end.
+fn value(body: &[u8]) -> Option<&[u8]> {
+    let (length, value) = body.strip_prefix(&[0, 1])?.split_at_checked(4)?;
+    let fits = be32(length).and_then(|l| usize::try_from(l).ok()) == Some(value.len());
+    (fits && value.len() <= MAX_VALUE).then_some(value)
 }
 
-fn columns(body: &[u8]) -> Option<Vec<Option<Vec<u8>>>> {
-    let (count, mut rest) = (be16(body)?, body.get(2..)?);
-    let mut row = Vec::new();
-    for _ in 0..count {
-        let length = be32(rest)? as i32;
-        rest = &rest[4..];
-        let Ok(length) = usize::try_from(length) else {
-            row.push(None);
-            continue;
-        };
-        row.push(Some(rest.get(..length)?.to_vec()));
-        rest = &rest[length..];
+/// The code among an error's fields.
+fn code(body: &[u8]) -> Option<String> {
+    let (mut code, mut rest) = (None, body);
+    loop {
+        match rest.split_first()? {
+            (0, []) => return code,
+            (0, _) => return None,
+            (tag, after) => {
+                let (field, next) = cut(after)?;
+                if *tag == b'C' {
+                    let plain = field.len() == 5 && field.iter().all(u8::is_ascii_alphanumeric);
+                    code = Some(plain.then(|| lossy(field))?);
+                }
+                rest = next;
+            }
+        }
     }
-    Some(row)
+}
+
+fn be32(b: &[u8]) -> Option<u32> {
+    Some(u32::from_be_bytes(b.get(..4)?.try_into().ok()?))
 }
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -1,7 +1,7 @@
 //! A client's connection: fed what the client sends, it hands out statements one at a time and
 //! holds what is to be written.
 
-use super::codec::{FromClient, Inbox, MAX_QUERY, Malformed, Startup};
+use super::codec::{FromClient, Inbox, Malformed, Startup};
 use super::sqlstate;
 use super::statement::Statement;
 use crate::core::Answer;
@@ -138,9 +138,9 @@
     }
 
     fn command(&mut self) -> Result<Step, Malformed> {
-        let Some((tag, body)) = self.inbox.message(MAX_QUERY)? else { return Ok(Step::Wait) };
+        let Some(message) = self.inbox.from_client()? else { return Ok(Step::Wait) };
         let skipping = self.phase == Phase::UntilSync;
-        match FromClient::decode(tag, body)? {
+        match message {
             FromClient::Terminate => {
                 self.phase = Phase::Over;
                 return Ok(Step::Wish(Wish::Close("terminate")));
@@ -149,7 +149,6 @@
                 self.phase = Phase::Ready;
                 self.out.ready_for_query();
             }
-            FromClient::Unknown(_) => return Err(Malformed::Bad("an unknown message")),
             _ if skipping => {}
             FromClient::Flush => {}
             FromClient::Extended => {
@@ -185,7 +184,7 @@
         match answer {
             Answer::Served(value) => {
                 let tag = if write { "INSERT 0 1" } else { "SELECT 1" };
-                self.out.row("blob", value.binary, value.bytes.as_deref(), tag);
+                self.out.row("blob", value.binary, &value.bytes, tag);
             }
             Answer::Refused { come_back_ms } => {
                 let detail = come_back_ms.map(|ms| ms.to_string());
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -254,6 +254,7 @@
     read write split pipelined encryption extended forms miss reset refused full cancel
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
+    spoilt surplus unreadable_report
 }
 
 /// Starts the program on a configuration, which it is to refuse.
