--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -89,7 +89,7 @@
 
     pub fn next(&mut self) -> Option<Heard> {
         while self.phase != Phase::Over {
-            let heard = match self.inbox.from_server() {
+            let heard = match self.inbox.server_message() {
                 Ok(None) => {
                     self.inbox.shrink();
                     return None;
--- a/proxy/src/pg/codec.rs
+++ b/proxy/src/pg/codec.rs
@@ -72,13 +72,13 @@
         Ok(self.take(start + 4, start + length).map(|body| (tag, body)))
     }
 
-    pub fn from_client(&mut self) -> Result<Option<FromClient>, Malformed> {
+    pub fn client_message(&mut self) -> Result<Option<FromClient>, Malformed> {
         let message = self.message(CLIENT_TAGS, MAX_QUERY)?;
         message.map(|(tag, body)| FromClient::decode(tag, body)).transpose()
     }
 
     /// The next message, and the bytes that it took.
-    pub fn from_server(&mut self) -> Result<Option<(FromServer, usize)>, Malformed> {
+    pub fn server_message(&mut self) -> Result<Option<(FromServer, usize)>, Malformed> {
         let message = self.message(SERVER_TAGS, MAX_REPLY)?;
         message.map(|(tag, body)| Ok((FromServer::decode(tag, body)?, body.len() + 5))).transpose()
     }
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -138,7 +138,7 @@
     }
 
     fn command(&mut self) -> Result<Step, Malformed> {
-        let Some(message) = self.inbox.from_client()? else { return Ok(Step::Wait) };
+        let Some(message) = self.inbox.client_message()? else { return Ok(Step::Wait) };
         let skipping = self.phase == Phase::UntilSync;
         match message {
             FromClient::Terminate => {
