Let a connection to a database rest 1 ms after an answer before the next query

A query written in that time meets the close, or takes a second copy of the answer before for its own, which would lose the request. Checked: waiting 1 ms for the connection is sooner than a new one is up (3 to 7 ms of handshake). A job that waits for a resting connection moves on when that one breaks: nothing of it was written. Test: exchange surplus, which also asserts that the next query is 1 ms behind the answer; with a rest of 0 ms it came after 83 us.

--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -59,6 +59,9 @@
 /// Share of the idle time after which databases close that a connection is kept for: a request
 /// must never cross with that end.
 const IDLE_KEPT: f64 = 0.6;
+/// A connection rests after an answer: what the database sends or does right behind it, a surplus or its
+/// own close, must not meet the next query.
+const REST: Micros = 1_000;
 
 impl Pool {
     pub fn new(site: &Site, most: usize) -> Pool {
@@ -85,15 +88,20 @@
     }
 
     fn take_up(&mut self, cx: &mut Cx, server: ServerId, job: Job) {
-        while let Some(key) = self.idle.get_mut(&server).and_then(Vec::pop) {
-            // The end of an idle connection may have come in with the event that led here: written to
-            // it, the query would count as one that may have run.
-            if self.read(cx, key) {
-                if self.slots[key].machine.clean() {
-                    self.ask(cx, key, job);
-                    return;
+        while let Some((key, rested)) = self.take_idle(cx, server) {
+            if !rested {
+                // Sooner than a new connection could be up.
+                let c = &mut self.slots[key];
+                cx.timers.set(c.idle_since + REST, Due::Rested(key, c.serial));
+                if let Job::Attempt { attempt, .. } = &job {
+                    self.attempts.insert(*attempt, key);
                 }
-                self.close(cx, key, "surplus");
+                c.job = Some(job);
+                return;
+            }
+            if self.fit(cx, key) {
+                self.ask(cx, key, job);
+                return;
             }
         }
         match self.open(cx, server) {
@@ -109,6 +117,44 @@
         }
     }
 
+    /// The idle connection that was used last, but those that have rested before those that have not.
+    fn take_idle(&mut self, cx: &Cx, server: ServerId) -> Option<(usize, bool)> {
+        let keys = self.idle.get_mut(&server)?;
+        match keys.iter().rposition(|k| cx.now - self.slots[*k].idle_since >= REST) {
+            Some(at) => Some((keys.remove(at), true)),
+            None => keys.pop().map(|key| (key, false)),
+        }
+    }
+
+    /// A last look at a connection that is up, before a query is written to it: its end may have come in
+    /// with the event that led here, and the query would count as one that may have run. False: it is gone.
+    fn fit(&mut self, cx: &mut Cx, key: usize) -> bool {
+        if !self.read(cx, key) {
+            return false;
+        }
+        let clean = self.slots[key].machine.clean();
+        if !clean {
+            self.close(cx, key, "surplus");
+        }
+        clean
+    }
+
+    /// The connection has rested, and a job may wait for it.
+    pub fn rested(&mut self, cx: &mut Cx, key: usize, serial: u64) {
+        let waiting = |c: &&mut Connection| c.serial == serial && c.up && !c.asked;
+        let Some(c) = self.slots.get_mut(key).filter(waiting) else { return };
+        let (server, address) = (c.server, c.address);
+        let Some(job) = c.job.take() else { return };
+        if cx.core.address(server) != Some(address) {
+            self.close(cx, key, "moved");
+            self.take_up(cx, server, job);
+        } else if self.fit(cx, key) {
+            self.ask(cx, key, job);
+        } else {
+            self.take_up(cx, server, job);
+        }
+    }
+
     /// A new connection. Where there is no socket for it the server is not to blame, and nothing was sent.
     fn open(&mut self, cx: &mut Cx, server: ServerId) -> Result<usize, Ending> {
         let address = cx.core.address(server).ok_or(Ending::ConnectFailed)?;
@@ -291,13 +337,8 @@
                 false
             }
             Heard::Nonsense => {
-                let spoilt = self.slots[key].written;
-                let job = self.close(cx, key, "nonsense");
                 // The query has run and its answer is lost, but its server lives.
-                let ending = if spoilt { Ending::Error } else { Ending::ConnectFailed };
-                if let Some(job) = job {
-                    self.report(cx, job, Reply::bare(ending));
-                }
+                self.lose(cx, key, "nonsense", Reply::bare(Ending::Error));
                 false
             }
         }
@@ -306,15 +347,23 @@
     /// The connection broke, or is given up. Whether the job may have run turns on whether the last
     /// byte of its query was written.
     fn end(&mut self, cx: &mut Cx, key: usize, reason: &str) {
-        let c = &mut self.slots[key];
-        let (written, last) = (c.written, c.machine.ended());
-        let Some(job) = self.close(cx, key, reason) else { return };
-        let reply = match last {
-            Some(Heard::Done(reply)) if written => reply,
-            _ if written => Reply::bare(Ending::Reset),
-            _ => Reply::bare(Ending::ConnectFailed),
+        let reply = match self.slots[key].machine.ended() {
+            Some(Heard::Done(reply)) => reply,
+            _ => Reply::bare(Ending::Reset),
         };
-        self.report(cx, job, reply);
+        self.lose(cx, key, reason, reply);
+    }
+
+    /// Closes the connection; `reply` is what becomes of a job whose query was written whole.
+    fn lose(&mut self, cx: &mut Cx, key: usize, reason: &str, reply: Reply) {
+        let c = &self.slots[key];
+        let (server, resting, written) = (c.server, c.up && !c.asked, c.written);
+        let Some(job) = self.close(cx, key, reason) else { return };
+        if resting {
+            self.take_up(cx, server, job);
+        } else {
+            self.report(cx, job, if written { reply } else { Reply::bare(Ending::ConnectFailed) });
+        }
     }
 
     /// Closes the connection and logs why. A job that it had is handed back without an outcome.
@@ -326,7 +375,7 @@
         }
         let state = if !c.up {
             "opening"
-        } else if c.job.is_some() {
+        } else if c.asked {
             "busy"
         } else {
             "idle"
@@ -359,8 +408,11 @@
         let Some(key) = self.attempts.get(&attempt).copied() else { return };
         let written = self.slots[key].written;
         if !self.slots[key].asked {
-            // The connection is still being opened, and may serve another.
+            // The connection is still being opened, or rests, and may serve another.
             let job = self.slots[key].job.take();
+            if self.slots[key].up {
+                self.settle(cx, key);
+            }
             if let Some(job) = job {
                 self.report(cx, job, Reply::bare(Ending::Moot));
             }
@@ -388,6 +440,7 @@
 
     /// Closes connections that have been idle for long.
     pub fn sweep(&mut self, cx: &mut Cx) {
+        self.idle.retain(|_, keys| !keys.is_empty());
         let old = |k: &&usize| cx.now - self.slots[**k].idle_since >= self.idle_limit;
         let old: Vec<usize> = self.idle.values().flatten().filter(old).copied().collect();
         for key in old {
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -23,6 +23,8 @@
     open: HashMap<String, TcpStream>,
     names: HashMap<String, Bytes>,
     log_seen: String,
+    /// When it last sent something.
+    sent: Instant,
     /// The configuration's file and text.
     config: (String, String),
 }
@@ -74,7 +76,17 @@
         let listen = started.split(' ').find_map(|w| w.strip_prefix("listen=")).unwrap().parse().unwrap();
         let names = LISTENERS.map(|l| (l.to_string(), plain(&address(l)))).into_iter().collect();
         let (open, config) = (HashMap::new(), (path, config));
-        Player { program, log, proxy: listen, listeners, open, names, log_seen: started, config }
+        Player {
+            program,
+            log,
+            proxy: listen,
+            listeners,
+            open,
+            names,
+            log_seen: started,
+            sent: Instant::now(),
+            config,
+        }
     }
 
     /// `c` and a number: a client, which connects. `p.2`: the second connection that `p` accepts.
@@ -136,6 +148,7 @@
             (listener, "gone") => drop(self.listeners.remove(listener)),
             (_, ">") => {
                 let bytes: Vec<u8> = self.bytes(rest).into_iter().flatten().collect();
+                self.sent = Instant::now();
                 self.party(party).write_all(&bytes).unwrap();
             }
             (_, ">>") => {
@@ -143,7 +156,7 @@
                     self.party(party).write_all(&[byte]).unwrap();
                 }
             }
-            (_, "<") => {
+            (_, "<" | "<<") => {
                 let wanted = self.bytes(rest);
                 let mut got = vec![0; wanted.len()];
                 let stream = self.party(party);
@@ -156,6 +169,8 @@
                 }
                 let same = n == got.len() && wanted.iter().zip(&got).all(|(w, g)| w.is_none_or(|w| w == *g));
                 assert!(same, "came: {:?}", String::from_utf8_lossy(&got[..n]));
+                let waited = self.sent.elapsed();
+                assert!(deed == "<" || waited >= Duration::from_millis(1), "it came after {waited:?}");
             }
             (_, "close") => drop(self.open.remove(party)),
             (_, "ends") => {
