Bound what clients may leave unfinished; answer open ids here; forget what has left

Seen on reading: an error was followed by a close on unread input, which breaks the connection before it is read; a client's long statement was kept whole before it was refused; commands answered without a database had no turn; servers, their names and groups that clients made up were kept for ever (core.rs, policy.rs). Ruled out: memory, 1 MB throughout. Now: 2 s for a first or begun command, 5 s idle; an error is written, the sending side closed, and up to 1 MiB or 0.5 s passed over before the close; 32 commands a turn; an id open elsewhere and a group that does not exist get 22023; long input that is no INSERT is refused at its first 4 KiB; a client's wait counts up to its class's deadline; a position to come is none; a server is forgotten 20 s after it left. Tests: exchanges rude, unfinished, unreadable_report; servers_that_left_are_forgotten..., databases_that_left....

--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -89,7 +89,9 @@
     requests: HashMap<RequestId, Entry<W>>,
     out: HashMap<Attempt, Out>,
     roster: HashMap<String, ServerId>,
-    servers: Vec<Listed>,
+    servers: HashMap<ServerId, Listed>,
+    /// Servers named so far: a number is never given twice.
+    named: u32,
     last_id: u64,
     actions: Vec<Action>,
     commands: VecDeque<Command<W>>,
@@ -99,8 +101,12 @@
 struct Listed {
     uid: String,
     address: Option<SocketAddr>,
+    group: GroupId,
 }
 
+/// All machines read one clock, but not at the same instant.
+const SKEW: Micros = 1_000_000;
+
 impl<W: Clone> Core<W> {
     pub fn new(site: &Site, seed: u64, now: Micros) -> Core<W> {
         let mut actions = Vec::new();
@@ -111,7 +117,8 @@
             requests: HashMap::new(),
             out: HashMap::new(),
             roster: HashMap::new(),
-            servers: Vec::new(),
+            servers: HashMap::new(),
+            named: 0,
             last_id: 0,
             actions,
             commands: VecDeque::new(),
@@ -129,12 +136,17 @@
     }
 
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.servers.get(server.0 as usize)?.address
+        self.servers.get(&server)?.address
+    }
+
+    /// The list names servers of this group; an unread list may name any.
+    pub fn serves(&self, group: GroupId) -> bool {
+        self.servers.is_empty() || self.servers.values().any(|s| s.group == group)
     }
 
     /// The server's name in the list, for the log.
     pub fn name(&self, server: ServerId) -> &str {
-        self.servers.get(server.0 as usize).map_or("?", |s| &s.uid)
+        self.servers.get(&server).map_or("?", |s| &s.uid)
     }
 
     fn handle(&mut self, now: Micros, event: Event) {
@@ -226,14 +238,14 @@
             ending: reply.ending,
             spent: now - sent,
             finished: !self.requests.contains_key(&request),
-            note: reply.note,
-            report: reply.report,
+            note: reply.note.map(|n| Note { position: n.position.filter(|at| *at <= now + SKEW), ..n }),
+            report: credible(reply.report, now),
         };
         self.handle(now, Event::Outcome(outcome));
     }
 
     pub fn probed(&mut self, now: Micros, server: ServerId, ending: Ending, report: Option<Report>) {
-        self.handle(now, Event::Probed { server, ending, report });
+        self.handle(now, Event::Probed { server, ending, report: credible(report, now) });
     }
 
     pub fn timer(&mut self, now: Micros, id: u32) {
@@ -245,16 +257,18 @@
         let mut moved = Vec::new();
         let mut members = Vec::new();
         for t in update.targets {
-            let next = ServerId(self.servers.len() as u32);
+            let next = ServerId(self.named);
             let server = *self.roster.entry(t.uid.clone()).or_insert(next);
             if server == next {
                 // The module's notes call it by its number.
                 let line = format!("event=server number={} uid={} endpoint={}", server.0, t.uid, t.endpoint);
                 self.commands.push_back(Command::Log(line));
-                self.servers.push(Listed { uid: t.uid, address: None });
+                self.named += 1;
             }
             let address = t.endpoint.parse().ok();
-            let listed = &mut self.servers[server.0 as usize];
+            let group = GroupId(t.group);
+            let listed = self.servers.entry(server).or_insert(Listed { uid: t.uid, address: None, group });
+            listed.group = group;
             if listed.address != address || t.state == State::Removed {
                 moved.push(server);
                 listed.address = address.or(listed.address);
@@ -262,7 +276,7 @@
             let zone = self.zones.iter().position(|z| *z == t.zone);
             members.push(Member {
                 server,
-                group: GroupId(t.group),
+                group,
                 zone: ZoneId(zone.and_then(|z| u16::try_from(z).ok()).unwrap_or(u16::MAX)),
                 state: match t.state {
                     State::Up => MemberState::Ready,
@@ -278,11 +292,44 @@
             });
         }
         self.handle(now, Event::Members(Members { complete: update.all, members }));
+        // Servers that left long ago are forgotten here when the module has forgotten them.
+        let router = &self.router;
+        self.servers.retain(|id, _| router.knows(*id));
+        self.roster.retain(|_, id| router.knows(*id));
         moved
     }
 }
 
+/// A position that is yet to come is none, and a report that names one is spoilt.
+fn credible(report: Option<Report>, now: Micros) -> Option<Report> {
+    report.filter(|r| r.position.is_none_or(|at| at <= now + SKEW))
+}
+
 /// The number of a session, from its name.
 pub fn session(name: &[u8]) -> u64 {
     hash(name)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::Value as Json;
+
+    #[test]
+    fn databases_that_left_long_ago_are_forgotten_and_numbers_are_not_given_twice() {
+        let config: Json = serde_json::from_str(include_str!("../tests/exchanges/config.json")).unwrap();
+        let site = birchreach_settings::from_value(&config["settings"]).unwrap();
+        let mut core: Core<()> = Core::new(&site, 1, 0);
+        for n in 0..100u32 {
+            let target = |uid: String, state: &str| format!(r#"{{"uid": "{uid}", "state": "{state}"}}"#);
+            let old = target(format!("s-{}", i64::from(n) - 1), "removed");
+            let new = target(format!("s-{n}"), "up");
+            let list = format!(r#"{{"rev": {n}, "all": false, "targets": [{old}, {new}]}}"#);
+            let update = Update::from_json(&serde_json::from_str(&list).unwrap()).unwrap();
+            core.members(Micros::from(n) * 1_000_000, update);
+            assert_eq!(core.roster[&format!("s-{n}")], ServerId(n + 1), "s--1 was the first");
+        }
+        assert!(core.servers.len() < 30 && core.roster.len() < 30, "{} kept", core.servers.len());
+        assert_eq!(core.name(ServerId(100)), "s-99");
+    }
+}
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -3,43 +3,71 @@
 use super::pool::{Cx, Work};
 use super::stream::{self, Ended};
 use super::{CLIENTS, Due, LISTENER, STEP};
-use crate::core::Answer;
+use crate::core::{Answer, Ask};
 use crate::log::log;
 use crate::pg::frontend::{Frontend, Wish};
-use crate::pg::statement::Classes;
+use crate::pg::sqlstate;
+use crate::pg::statement::{Classes, Statement};
 use birchreach::{Micros, RequestId};
 use birchreach_settings::Site;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
+use std::collections::HashSet;
 use std::fs::File;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 
 struct Client {
     stream: TcpStream,
     peer: SocketAddr,
     machine: Frontend,
-    request: Option<RequestId>,
+    request: Option<(RequestId, Work)>,
     served: u64,
     /// There is more to read or write than one turn takes.
     unread: bool,
-    /// To be closed once everything is written.
-    closing: Option<&'static str>,
+    /// To be closed, and how: at once, or after the client had its time to hear why.
+    closing: Option<(&'static str, Parting)>,
     active: Micros,
+    /// Since when something that it began is not whole; its first command from its connect on.
+    unfinished: Option<Micros>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Parting {
+    AtOnce,
+    /// It is told why; nothing more is owed then, but closing on unread input would break the connection
+    /// before it has read that.
+    Told,
+    /// All is written: until this time, and this much input, it may go on sending what nobody keeps.
+    Lingers {
+        until: Micros,
+        spare: usize,
+    },
 }
 
 impl Client {
     /// Nothing was asked on it that is not answered.
     fn spareable(&self) -> bool {
-        self.request.is_none() && self.closing.is_none() && (self.machine.idle() || self.machine.starting())
+        let idle = self.machine.idle() || self.machine.starting();
+        self.lingers() || (self.request.is_none() && self.closing.is_none() && idle)
+    }
+
+    fn lingers(&self) -> bool {
+        matches!(self.closing, Some((_, Parting::Lingers { .. })))
+    }
+
+    /// Who makes room first: those that are only told goodbye, those that never said who they are, for a
+    /// flood of them would drive out those who did, and then those idle longest.
+    fn rank(&self) -> (bool, bool, Micros) {
+        (!self.lingers(), !self.machine.starting(), self.active)
     }
 }
 
 pub struct Clients {
     listener: Option<TcpListener>,
     slots: Slab<Client>,
-    classes: Classes,
+    desk: Desk,
     most: usize,
     /// More may wait to be accepted.
     waiting: bool,
@@ -53,6 +81,26 @@
     spare: Option<File>,
 }
 
+/// What tells whether a statement is taken, and as what.
+struct Desk {
+    classes: Classes,
+    /// The ids of open requests, of all clients.
+    ids: HashSet<Box<[u8]>>,
+}
+
+impl Desk {
+    fn ask(&mut self, cx: &Cx, s: &Statement) -> Result<Ask, (&'static str, &'static str)> {
+        let ask = self.classes.ask(s)?;
+        if !cx.core.serves(ask.group) {
+            return Err((sqlstate::INVALID_VALUE, "cluster names no group"));
+        }
+        if !self.ids.insert(s.id().into()) {
+            return Err((sqlstate::INVALID_VALUE, "id is that of an open request"));
+        }
+        Ok(ask)
+    }
+}
+
 fn spare() -> Option<File> {
     File::open("/dev/null").ok()
 }
@@ -64,8 +112,15 @@
 /// Bytes read from one client before its input is looked at, and how often that is done in one turn.
 const READ_TURN: usize = 64 << 10;
 const ROUNDS: usize = 4;
-/// A client that stops halfway is closed after this time: every deadline is shorter.
+/// A client that does not read its answers is closed after this time: every deadline is shorter.
 const SILENT: Micros = 10_000_000;
+/// For a first command, and for the rest of one begun.
+const UNFINISHED: Micros = 2_000_000;
+/// A connection on which nothing was asked for so long is closed.
+const IDLE: Micros = 5_000_000;
+/// How long, and for how many bytes, a client that has been told why it is closed may go on sending.
+const LINGER: Micros = 500_000;
+const SPARE_INPUT: usize = 1 << 20;
 
 impl Clients {
     pub fn new(registry: &Registry, listen: SocketAddr, site: &Site, most: usize) -> Result<Clients, String> {
@@ -75,7 +130,7 @@
         Ok(Clients {
             listener: Some(listener),
             slots: Slab::new(),
-            classes: Classes::new(site),
+            desk: Desk { classes: Classes::new(site), ids: HashSet::new() },
             most,
             waiting: false,
             retry_set: false,
@@ -158,19 +213,17 @@
         self.retry_set = false;
     }
 
-    /// Closes the client that has been idle longest, but not the newcomer; one that never said who it is
-    /// before all others, or a flood of such would drive out those who did.
+    /// Closes the client that makes room first, but not the newcomer.
     fn shed(&mut self, cx: &mut Cx, newcomer: Option<usize>) {
         for _ in 0..TURN {
             let spareable = self.slots.iter().filter(|(k, c)| Some(*k) != newcomer && c.spareable());
-            let first = spareable.min_by_key(|(_, c)| (!c.machine.starting(), c.active));
-            let state = |c: &Client| (c.machine.starting(), c.active);
-            let Some((key, before)) = first.map(|(k, c)| (k, state(c))) else { return };
+            let first = spareable.min_by_key(|(_, c)| c.rank());
+            let Some((key, before)) = first.map(|(k, c)| (k, c.rank())) else { return };
             // What came in meanwhile is read first: a request must not cross with the end.
             self.ready(cx, key);
             match self.slots.get(key) {
                 None => return,
-                Some(c) if c.spareable() && state(c) == before => return self.close(cx, key, "shed"),
+                Some(c) if c.spareable() && c.rank() == before => return self.close(cx, key, "shed"),
                 Some(_) => {}
             }
         }
@@ -194,14 +247,22 @@
             unread: false,
             closing: None,
             active: cx.now,
+            unfinished: Some(cx.now),
         });
         Some(key)
     }
 
-    /// Reads, runs and writes as far as it goes.
+    /// The connection's turn: it is read, run and written as far as that takes it.
     pub fn ready(&mut self, cx: &mut Cx, key: usize) {
+        if let Some(c) = self.slots.get_mut(key) {
+            c.machine.turn();
+            self.go(cx, key);
+        }
+    }
+
+    fn go(&mut self, cx: &mut Cx, key: usize) {
         let Some(c) = self.slots.get_mut(key) else { return };
-        match Self::serve(cx, &self.classes, key, c) {
+        match Self::serve(cx, &mut self.desk, key, c) {
             Some(reason) => self.close(cx, key, reason),
             None if self.leaving && c.request.is_none() && c.machine.idle() => {
                 self.close(cx, key, "stopping")
@@ -212,9 +273,16 @@
     }
 
     /// The reason, if the connection is over.
-    fn serve(cx: &mut Cx, classes: &Classes, key: usize, c: &mut Client) -> Option<&'static str> {
+    fn serve(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) -> Option<&'static str> {
         // A client that sends without end gets its turn like all others.
         c.unread = false;
+        let over = if c.lingers() { Self::linger(cx, c) } else { Self::converse(cx, desk, key, c) };
+        let halfway = c.request.is_none() && c.machine.unfinished();
+        c.unfinished = halfway.then(|| c.unfinished.unwrap_or(cx.now));
+        over
+    }
+
+    fn converse(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) -> Option<&'static str> {
         for _ in 0..ROUNDS {
             let hungry = c.closing.is_none() && c.machine.hungry();
             let mut read = 0;
@@ -228,15 +296,12 @@
                     machine.hungry() && read < READ_TURN
                 })
             };
-            Self::run(cx, classes, key, c);
+            Self::run(cx, desk, key, c);
             let drained = match drained {
                 Ok(drained) => drained,
                 Err(how) => {
-                    return c.closing.or(Some(if how == Ended::Closed {
-                        "client-closed"
-                    } else {
-                        "client-reset"
-                    }));
+                    let reason = if how == Ended::Closed { "client-closed" } else { "client-reset" };
+                    return Some(c.closing.map_or(reason, |(reason, _)| reason));
                 }
             };
             let waiting = !c.machine.out.pending().is_empty();
@@ -245,19 +310,27 @@
                 Ok(false) => return None,
                 Ok(true) => {}
             }
-            if c.closing.is_some() {
-                return c.closing;
+            match c.closing {
+                None => {}
+                Some((reason, Parting::Told)) => {
+                    let _ = c.stream.shutdown(Shutdown::Write);
+                    let (until, spare) = (cx.now + LINGER, SPARE_INPUT);
+                    c.closing = Some((reason, Parting::Lingers { until, spare }));
+                    return Self::linger(cx, c);
+                }
+                Some((reason, _)) => return Some(reason),
             }
             if read > 0 || waiting {
                 c.active = cx.now;
             }
             // Room again: what was held back for a slow reader goes on. Input that was not read to its
             // end must be asked for now, for the socket does not tell of it twice.
-            Self::run(cx, classes, key, c);
+            Self::run(cx, desk, key, c);
             let more = !hungry || !drained;
             let held_back = c.closing.is_some() || !c.machine.out.pending().is_empty();
             let unread = more && c.machine.hungry();
             if !held_back && !unread {
+                c.unread = c.machine.exhausted();
                 return None;
             }
         }
@@ -265,15 +338,36 @@
         None
     }
 
+    /// Passes over what still comes from one that has been told why it is closed.
+    fn linger(cx: &mut Cx, c: &mut Client) -> Option<&'static str> {
+        let Some((reason, Parting::Lingers { spare, .. })) = &mut c.closing else { return None };
+        let mut left = (*spare).min(READ_TURN);
+        let before = left;
+        let drained = stream::read(&mut c.stream, cx.scratch, |bytes| {
+            left = left.saturating_sub(bytes.len());
+            left > 0
+        });
+        *spare -= before - left;
+        match drained {
+            Err(_) => return Some(reason),
+            Ok(drained) => c.unread = !drained && *spare > 0,
+        }
+        None
+    }
+
     /// Hands the machine's wishes on, until one has to be waited for.
-    fn run(cx: &mut Cx, classes: &Classes, key: usize, c: &mut Client) {
+    fn run(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) {
         while c.request.is_none() && c.closing.is_none() {
             match c.machine.next() {
                 None => return,
-                Some(Wish::Close(reason)) => c.closing = Some(reason),
-                Some(Wish::Run(statement)) => match classes.ask(&statement) {
+                Some(Wish::Close(reason)) => c.closing = Some((reason, Parting::AtOnce)),
+                Some(Wish::Part(reason)) => c.closing = Some((reason, Parting::Told)),
+                Some(Wish::Run(statement)) => match desk.ask(cx, &statement) {
                     Err((code, message)) => c.machine.reject(code, message),
-                    Ok(ask) => c.request = Some(cx.core.request(cx.now, key, ask, Work::new(statement))),
+                    Ok(ask) => {
+                        let work = Work::new(statement);
+                        c.request = Some((cx.core.request(cx.now, key, ask, work.clone()), work));
+                    }
                 },
             }
         }
@@ -281,11 +375,12 @@
 
     /// The answer to a client's request.
     pub fn answer(&mut self, cx: &mut Cx, key: usize, request: RequestId, answer: &Answer) {
-        let Some(c) = self.slots.get_mut(key).filter(|c| c.request == Some(request)) else { return };
-        c.request = None;
+        let Some(c) = self.slots.get_mut(key) else { return };
+        let Some((_, work)) = c.request.take_if(|(id, _)| *id == request) else { return };
+        self.desk.ids.remove(work.id());
         c.served += 1;
         c.machine.answer(answer);
-        self.ready(cx, key);
+        self.go(cx, key);
     }
 
     /// Closes the connection and logs why.
@@ -293,18 +388,48 @@
         let mut c = self.slots.remove(key);
         let _ = cx.registry.deregister(&mut c.stream);
         log!("conn=client peer={} answered={} reason={reason}", c.peer, c.served);
-        if let Some(request) = c.request {
+        if let Some((request, work)) = c.request {
+            self.desk.ids.remove(work.id());
             cx.core.gone(cx.now, request);
         }
     }
 
-    /// Closes those that stop halfway: through their startup, a message, or the reading of an answer.
-    /// Left alone, they could take every place.
+    /// Why a connection has had its time, if it has.
+    fn expired(c: &Client, now: Micros) -> Option<&'static str> {
+        match c.closing {
+            Some((reason, Parting::Lingers { until, .. })) => return (now >= until).then_some(reason),
+            Some((reason, _)) => return (now - c.active >= UNFINISHED).then_some(reason),
+            None if c.request.is_some() => return None,
+            None => {}
+        }
+        let (unread, unfinished) = (!c.machine.out.pending().is_empty(), c.unfinished);
+        if unread {
+            (now - c.active > SILENT).then_some("silent")
+        } else if unfinished.is_some_and(|since| now - since >= UNFINISHED) {
+            Some("unfinished")
+        } else {
+            (c.machine.idle() && now - c.active >= IDLE).then_some("idle")
+        }
+    }
+
+    /// Closes those that stop halfway, through their startup, a message, or the reading of an answer, and
+    /// those that ask no more. Left alone, they could take every place.
     pub fn sweep(&mut self, cx: &mut Cx) {
-        let stuck = |c: &Client| c.request.is_none() && !c.machine.idle() && cx.now - c.active > SILENT;
-        let stuck: Vec<usize> = self.slots.iter().filter(|(_, c)| stuck(c)).map(|(k, _)| k).collect();
-        for key in stuck {
-            self.close(cx, key, "silent");
+        let keys = self.slots.iter().filter(|(_, c)| Self::expired(c, cx.now).is_some());
+        for key in keys.map(|(k, _)| k).collect::<Vec<_>>() {
+            // What came in meanwhile is read first: a request must not cross with the end.
+            self.ready(cx, key);
+            let Some(c) = self.slots.get_mut(key) else { continue };
+            match Self::expired(c, cx.now) {
+                Some(reason @ "unfinished") if c.closing.is_none() => {
+                    c.machine.time_out();
+                    c.closing = Some((reason, Parting::Told));
+                    c.active = cx.now;
+                    self.ready(cx, key);
+                }
+                Some(reason) => self.close(cx, key, reason),
+                None => {}
+            }
         }
     }
 
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -47,7 +47,7 @@
 
 /// Descriptors kept for the rest: standard streams, poll, signals, listener, discovery.
 const OWN_SOCKETS: usize = 20;
-const SWEEP: Micros = 1_000_000;
+const SWEEP: Micros = 250_000;
 /// After SIGTERM connections still arrive for a while; they are served. Then idle clients are closed.
 const LINGER: Micros = 800_000;
 /// Beyond the longest deadline, clients have gone: nothing more is owed to anyone.
--- a/proxy/src/pg/codec.rs
+++ b/proxy/src/pg/codec.rs
@@ -77,6 +77,11 @@
         message.map(|(tag, body)| FromClient::decode(tag, body)).transpose()
     }
 
+    /// What has come of the body of a message that is not whole yet.
+    pub fn begun(&self) -> Option<&[u8]> {
+        self.buf.get(self.at + 5..)
+    }
+
     /// The next message, and the bytes that it took.
     pub fn server_message(&mut self) -> Result<Option<(FromServer, usize)>, Malformed> {
         let message = self.message(SERVER_TAGS, MAX_REPLY)?;
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -23,23 +23,40 @@
     Over,
 }
 
+/// Commands taken in one turn: a client that sends hundreds at once takes turns with the others.
+const TURN: u32 = 32;
+
 /// What the client wants of the program.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Wish {
     Run(Statement),
-    /// Close once all is written, for this reason.
+    /// Close, for this reason.
     Close(&'static str),
+    /// Close once the client has been told why.
+    Part(&'static str),
 }
 
 pub struct Frontend {
     phase: Phase,
     inbox: Inbox,
     pub out: Outbox,
+    /// Commands that this turn may still take, and those taken since the beginning.
+    turn: u32,
+    taken: u64,
+    /// The message that comes next is not whole yet.
+    waits: bool,
 }
 
 impl Default for Frontend {
     fn default() -> Self {
-        Frontend { phase: Phase::Startup, inbox: Inbox::default(), out: Outbox::default() }
+        Frontend {
+            phase: Phase::Startup,
+            inbox: Inbox::default(),
+            out: Outbox::default(),
+            turn: TURN,
+            taken: 0,
+            waits: true,
+        }
     }
 }
 
@@ -48,10 +65,30 @@
         self.inbox.feed(bytes);
     }
 
-    /// More input is of use now. While a request runs or output waits, little is read ahead.
+    /// More input is of use now. Little is read ahead of what is being answered.
     pub fn hungry(&self) -> bool {
         let free = matches!(self.phase, Phase::Startup | Phase::Ready | Phase::UntilSync);
-        self.phase != Phase::Over && (self.inbox.len() < AHEAD || (free && !self.clogged()))
+        self.phase != Phase::Over && (self.inbox.len() < AHEAD || (free && self.waits && !self.clogged()))
+    }
+
+    /// A new turn of the loop begins.
+    pub fn turn(&mut self) {
+        self.turn = TURN;
+    }
+
+    /// Commands wait for the next turn.
+    pub fn exhausted(&self) -> bool {
+        self.turn == 0 && matches!(self.phase, Phase::Ready | Phase::UntilSync) && self.inbox.len() > 0
+    }
+
+    /// Nothing whole was ever asked, or something is left unfinished.
+    pub fn unfinished(&self) -> bool {
+        self.taken == 0 || (self.inbox.len() > 0 && self.waits && !matches!(self.phase, Phase::Busy { .. }))
+    }
+
+    /// It took too long over something unfinished, and is told so.
+    pub fn time_out(&mut self) {
+        self.fatal(sqlstate::PROTOCOL_VIOLATION, "no whole message in time");
     }
 
     fn clogged(&self) -> bool {
@@ -72,7 +109,7 @@
 
     /// The next wish, as far as the input goes; none while an answer is owed.
     pub fn next(&mut self) -> Option<Wish> {
-        while !self.clogged() {
+        while !self.clogged() && self.turn > 0 {
             let step = match self.phase {
                 Phase::Startup => self.startup(),
                 Phase::Ready | Phase::UntilSync => self.command(),
@@ -82,24 +119,26 @@
                 Ok(Step::Wish(wish)) => return Some(wish),
                 Ok(Step::On) => {}
                 Ok(Step::Wait) => {
+                    self.waits = true;
                     self.inbox.shrink();
                     return None;
                 }
                 Err(Malformed::TooLong) => {
-                    return Some(self.fatal(sqlstate::LIMIT_EXCEEDED, "the message is too long", "too-long"));
+                    self.fatal(sqlstate::LIMIT_EXCEEDED, "the message is too long");
+                    return Some(Wish::Part("too-long"));
                 }
                 Err(Malformed::Bad(what)) => {
-                    return Some(self.fatal(sqlstate::PROTOCOL_VIOLATION, what, "malformed"));
+                    self.fatal(sqlstate::PROTOCOL_VIOLATION, what);
+                    return Some(Wish::Part("malformed"));
                 }
             }
         }
         None
     }
 
-    fn fatal(&mut self, code: &str, message: &str, reason: &'static str) -> Wish {
+    fn fatal(&mut self, code: &str, message: &str) {
         self.out.error("FATAL", code, message, None);
         self.phase = Phase::Over;
-        Wish::Close(reason)
     }
 
     fn startup(&mut self) -> Result<Step, Malformed> {
@@ -113,7 +152,8 @@
             }
             Some(Startup::Unsupported { .. }) => {
                 let message = "only version 3 of the protocol is spoken here";
-                return Ok(Step::Wish(self.fatal(sqlstate::NOT_SUPPORTED, message, "version")));
+                self.fatal(sqlstate::NOT_SUPPORTED, message);
+                return Ok(Step::Wish(Wish::Part("version")));
             }
             Some(Startup::Version3 { minor, options }) => {
                 if minor > 0 || !options.is_empty() {
@@ -138,7 +178,11 @@
     }
 
     fn command(&mut self) -> Result<Step, Malformed> {
-        let Some(message) = self.inbox.client_message()? else { return Ok(Step::Wait) };
+        let Some(message) = self.inbox.client_message()? else {
+            let goes_on = self.inbox.begun().is_none_or(Statement::may_go_on);
+            return if goes_on { Ok(Step::Wait) } else { Err(Malformed::TooLong) };
+        };
+        (self.taken, self.turn, self.waits) = (self.taken + 1, self.turn - 1, false);
         let skipping = self.phase == Phase::UntilSync;
         match message {
             FromClient::Terminate => {
--- a/proxy/src/pg/statement.rs
+++ b/proxy/src/pg/statement.rs
@@ -1,6 +1,7 @@
 //! The two forms of statement that clients send, taken apart strictly: whatever else reached a
 //! database would be refused there as a breach of the protocol.
 
+use super::codec::MAX_VALUE;
 use super::sqlstate;
 use crate::core::{Ask, session};
 use birchreach::{ClassId, GroupId, Micros, Need};
@@ -14,6 +15,7 @@
     text: Vec<u8>,
     /// Where the digits of `d` stand.
     d_at: Range<usize>,
+    id_at: Range<usize>,
     /// Where the key between the quotes stands.
     key_at: Range<usize>,
     pub write: bool,
@@ -29,13 +31,23 @@
 const MAX_KEY: usize = 1024;
 const MAX_FIELD: usize = 128;
 
+const READ: &[u8] = b"SELECT blob FROM rows WHERE handle = '";
+const WRITE: &[u8] = b"INSERT INTO rows (handle, blob) VALUES ('";
+/// The longest statement that holds no value.
+const MAX_PLAIN: usize = 4096;
+
 impl Statement {
+    /// Can a statement that begins so be taken, long as it is? What will be refused is not waited for.
+    pub fn may_go_on(begun: &[u8]) -> bool {
+        begun.len() <= MAX_PLAIN || begun.starts_with(WRITE)
+    }
+
     /// `None`: not a statement of this form.
     pub fn parse(text: Vec<u8>) -> Option<Statement> {
         let mut p = Parser { text: &text, at: 0 };
-        let write = if p.word(b"SELECT blob FROM rows WHERE handle = '") {
+        let write = if p.word(READ) {
             false
-        } else if p.word(b"INSERT INTO rows (handle, blob) VALUES ('") {
+        } else if p.word(WRITE) {
             true
         } else {
             return None;
@@ -44,7 +56,7 @@
         if write {
             p.all(b"', '\\x")?;
             let hex = p.run(|b| b.is_ascii_hexdigit(), usize::MAX).unwrap_or(p.at..p.at);
-            if !hex.len().is_multiple_of(2) {
+            if !hex.len().is_multiple_of(2) || hex.len() > 2 * MAX_VALUE {
                 return None;
             }
             p.all(b"') RETURNING blob")?;
@@ -80,8 +92,8 @@
             let plain = digits.len() <= 15 && digits.iter().all(u8::is_ascii_digit);
             plain.then(|| digits.iter().fold(0, |n, d| n * 10 + u64::from(d - b'0')))
         };
-        let whole = p.at == text.len() && id.is_some();
-        if !whole || retry.is_some_and(|at| number(at).is_none()) {
+        let id_at = id?;
+        if p.at != text.len() || retry.is_some_and(|at| number(at).is_none()) {
             return None;
         }
         let d_at = d?;
@@ -92,7 +104,11 @@
             Some(at) => Some(i64::try_from(number(at)?).ok()?),
         };
         let class = String::from_utf8(text[class?].to_vec()).ok()?;
-        Some(Statement { d_at, key_at, write, class, wait_ms, group, after_ms, text })
+        Some(Statement { d_at, id_at, key_at, write, class, wait_ms, group, after_ms, text })
+    }
+
+    pub fn id(&self) -> &[u8] {
+        &self.text[self.id_at.clone()]
     }
 
     pub fn key(&self) -> &[u8] {
@@ -111,6 +127,7 @@
 struct Class {
     id: ClassId,
     need: Need,
+    deadline: Micros,
     carried: bool,
 }
 
@@ -121,10 +138,9 @@
     pub fn new(site: &Site) -> Classes {
         let class = |(i, name): (usize, &String)| {
             let id = ClassId(u16::try_from(i).ok()?);
-            Some((
-                name.clone(),
-                Class { id, need: site.module.classes.get(i)?.need, carried: site.carried[i] },
-            ))
+            let class = site.module.classes.get(i)?;
+            let (need, deadline) = (class.need, class.deadline);
+            Some((name.clone(), Class { id, need, deadline, carried: site.carried[i] }))
         };
         Classes(site.class_names.iter().enumerate().filter_map(class).collect())
     }
@@ -136,7 +152,8 @@
             return Err((sqlstate::INVALID_VALUE, "the class does not go with this form of statement"));
         }
         let sessions = matches!(class.need, Need::Write | Need::Session);
-        let wait = Micros::from(s.wait_ms) * 1000;
+        // Nobody of this class waits longer, whatever is claimed.
+        let wait = (Micros::from(s.wait_ms) * 1000).min(class.deadline);
         Ok(Ask {
             class: class.id,
             group: GroupId(s.group),
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -173,6 +173,7 @@
                 assert!(deed == "<" || waited >= Duration::from_millis(1), "it came after {waited:?}");
             }
             (_, "close") => drop(self.open.remove(party)),
+            (_, "closed") => assert_eq!(self.party(party).read(&mut [0; 64]).ok(), Some(0)),
             (_, "ends") => {
                 let end = self.party(party).read(&mut [0; 64]);
                 let reset = end.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionReset);
@@ -269,7 +270,7 @@
     read write split pipelined encryption extended forms miss reset refused full cancel
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
-    spoilt surplus unreadable_report
+    spoilt surplus unreadable_report rude unfinished
 }
 
 /// Starts the program on a configuration, which it is to refuse.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,6 +58,8 @@
 /// Replicas asked where they stand for one read, and the pause before one too far behind is again.
 const ASKS: usize = 2;
 const FAR_PAUSE: Micros = 500_000;
+/// A server that left is forgotten after this time: its process may only have been started again.
+const FORGET: Micros = 20_000_000;
 /// Least time between two log lines.
 const LOG_PACE: Micros = 1_000_000;
 
@@ -68,6 +70,8 @@
     /// It may be sent new work. Where `gone` does not bind, that word changes nothing: a list that
     /// wrongly calls servers gone would empty whole groups; real traffic tells which are.
     open: bool,
+    /// Since when it is listed as gone, or not at all.
+    gone_at: Option<Micros>,
     /// Proven log position, and the times up to which each role is proven.
     position: Option<Micros>,
     primary_at: Option<Micros>,
@@ -255,7 +259,10 @@
         let named: BTreeSet<ServerId> = list.members.iter().map(|m| m.server).collect();
         let unnamed = |s: &&mut Server| list.complete && !named.contains(&s.line.server);
         let soft = self.set.soft_removal;
-        self.servers.values_mut().filter(unnamed).for_each(|s| s.open &= soft);
+        for s in self.servers.values_mut().filter(unnamed) {
+            s.open &= soft;
+            s.line.state = MemberState::Gone;
+        }
         for m in list.members {
             // An absurd weight counts as 1: better even than starved or flooded.
             let weight = if m.weight.is_finite() && m.weight > 0.0 { m.weight } else { 1.0 };
@@ -281,9 +288,30 @@
                 m.state == MemberState::Ready || (m.state == MemberState::Gone && soft && server.open);
             server.line = Member { weight, started: m.started.or(server.line.started), ..m };
         }
+        self.forget();
         self.ready_count = self.servers.values().filter(|s| s.open).count().max(1);
     }
 
+    /// Servers that left for good: nothing is out at them any more, and nobody takes them for alive.
+    fn forget(&mut self) {
+        for s in self.servers.values_mut() {
+            let gone = s.line.state == MemberState::Gone;
+            s.gone_at = if gone { s.gone_at.or(Some(self.now)) } else { None };
+        }
+        let flying: BTreeSet<ServerId> = self.flying.values().map(|f| f.server).collect();
+        let long_gone = |s: &Server| s.gone_at.is_some_and(|at| self.now - at >= FORGET);
+        self.servers.retain(|id, s| !long_gone(s) || (s.open && !s.mute) || flying.contains(id));
+        for g in self.groups.values_mut() {
+            g.members.retain(|id| self.servers.contains_key(id));
+        }
+        self.groups.retain(|_, g| !g.members.is_empty() || !g.held.is_empty());
+    }
+
+    /// Does the module still know of this server?
+    pub fn knows(&self, id: ServerId) -> bool {
+        self.servers.contains_key(&id)
+    }
+
     /// Spread out, so that routers that failed together do not ask together again.
     fn list_failed(&mut self) {
         let wait = ASK_AGAIN / 4 + self.rng.i64(0..ASK_AGAIN);
@@ -707,7 +735,12 @@
 
     fn unhold(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id) else { return };
-        self.groups.entry(open.group).or_default().held.remove(&open.key);
+        let Some(group) = self.groups.get_mut(&open.group) else { return };
+        group.held.remove(&open.key);
+        if group.members.is_empty() && group.held.is_empty() {
+            // A group that no server is of: clients may name any.
+            self.groups.remove(&open.group);
+        }
     }
 
     /// Tries held requests of a group again, on evidence that something changed.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -289,3 +289,23 @@
     rig.feed(Event::Gone { request: RequestId(id) });
     assert!(!may(&rig, id));
 }
+
+#[test]
+fn servers_that_left_are_forgotten_but_not_while_anything_is_out_at_them() {
+    let mut rig = Rig::new(settings());
+    let (id, got) = rig.ask(WRITE);
+    assert_eq!(sends(&got), [P]);
+    for next in 10..200 {
+        rig.list(&[member(next, MemberState::Ready)]);
+        rig.pass(1_000 * MS);
+        assert!(rig.router.knows(ServerId(next)) && rig.router.knows(ServerId(P)));
+    }
+    assert_eq!(
+        (0..200).filter(|s| rig.router.knows(ServerId(*s))).count(),
+        22,
+        "P, and those of the last 20 s"
+    );
+    rig.end(id, 0, P, Ending::Timeout);
+    rig.list(&[member(199, MemberState::Ready)]);
+    assert!(!rig.router.knows(ServerId(P)));
+}
