Tell broken connections from dead processes; no server is cold or shut out for one

A trace at each refusal showed nearly all servers taken for cold (warmth 0.2) and mute, one with a debt of 107 sends, though their processes had never ended. Checked with that trace and the log's reasons (31 new connections reset, 300 broken under a request, in 20 s). Wrong were: pool.rs, where any end of a connection before the last byte, and any error of a connect, was a connect that failed; policy.rs outcome, where one that failed at once makes its server cold for the whole cold time, and one reset makes it mute, so that its group has no primary for 0.5 to 4 s; policy.rs send, where a warm server ran up a debt that counted once it was taken for cold. Ruled out: lagging replicas as the main cause (positions were 10 to 300 ms old), and caps. Now a connection that breaks before the request is whole is an ending of its own (Broken: never ran); it and a reset count against a server as failed requests do. Only a refused connect makes it cold, and an answer to what was sent before takes that back. A wake is never sooner than 1 ms: with latencies of 0 the module woke at the present without end.

--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -257,12 +257,15 @@
     fn write(&mut self, cx: &mut Cx, key: usize) -> bool {
         let c = &mut self.slots[key];
         if !c.up && c.stream.peer_addr().is_err() {
-            // Not connected yet, or refused.
-            let failed = !matches!(c.stream.take_error(), Ok(None));
-            if failed {
-                self.end(cx, key, "refused");
+            // Not connected yet, or refused: then no process listens. One that was reset was accepted first.
+            match c.stream.take_error() {
+                Ok(None) => return true,
+                Ok(Some(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                    self.unreachable(cx, key, "refused");
+                }
+                _ => self.end(cx, key, "reset"),
             }
-            return !failed;
+            return false;
         }
         match stream::write(&mut c.stream, &mut c.machine.out) {
             Ok(all) => {
@@ -330,7 +333,7 @@
             }
             Heard::TurnedAway(reply) => {
                 // 53300 is a database that is full; all else means that there is no connection to be had.
-                let ending = if reply.ending == Ending::Full { Ending::Full } else { Ending::ConnectFailed };
+                let ending = if reply.ending == Ending::Full { Ending::Full } else { Ending::Broken };
                 if let Some(job) = self.close(cx, key, "turned-away") {
                     self.report(cx, job, Reply { ending, ..reply });
                 }
@@ -362,7 +365,14 @@
         if resting {
             self.take_up(cx, server, job);
         } else {
-            self.report(cx, job, if written { reply } else { Reply::bare(Ending::ConnectFailed) });
+            self.report(cx, job, if written { reply } else { Reply::bare(Ending::Broken) });
+        }
+    }
+
+    /// No connection came up: no process listens, or nothing is heard of the machine.
+    fn unreachable(&mut self, cx: &mut Cx, key: usize, reason: &str) {
+        if let Some(job) = self.close(cx, key, reason) {
+            self.report(cx, job, Reply::bare(Ending::ConnectFailed));
         }
     }
 
@@ -425,7 +435,7 @@
 
     pub fn connect_overdue(&mut self, cx: &mut Cx, key: usize, serial: u64) {
         if self.slots.get(key).is_some_and(|c| c.serial == serial && !c.up) {
-            self.end(cx, key, "connect-timeout");
+            self.unreachable(cx, key, "connect-timeout");
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -283,6 +283,8 @@
     Timeout,
     /// No connection; it never ran.
     ConnectFailed,
+    /// The connection broke before the request was whole; it never ran.
+    Broken,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
@@ -296,7 +298,8 @@
 impl Ending {
     /// Nothing can have run.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::Moot | Ending::Miss)
+        use Ending::*;
+        matches!(self, Full | ConnectFailed | Broken | Moot | Miss)
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,6 +60,8 @@
 const FAR_PAUSE: Micros = 500_000;
 /// A server that left is forgotten after this time: its process may only have been started again.
 const FORGET: Micros = 20_000_000;
+/// The least time that counts as late: a wake at the present would find nothing changed, without end.
+const SOON: Micros = 1_000;
 /// Least time between two log lines.
 const LOG_PACE: Micros = 1_000_000;
 
@@ -439,7 +441,7 @@
     /// The mean latency of a class and some mean deviations more.
     fn within(&self, class: usize, deviations: f64) -> Micros {
         let (mean, dev) = self.latency[class];
-        (mean + deviations * dev) as Micros
+        ((mean + deviations * dev) as Micros).max(SOON)
     }
 
     fn suspect(&mut self, id: ServerId, mute: bool, out: &mut Vec<Action>) {
@@ -461,8 +463,13 @@
     fn heard(&mut self, id: ServerId, failed: bool, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.last_reply = Some(self.now);
-        blend(&mut s.failing, f64::from(failed), QUICK_BLEND);
         s.mute = false;
+        self.tally(id, failed, out);
+    }
+
+    fn tally(&mut self, id: ServerId, failed: bool, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        blend(&mut s.failing, f64::from(failed), QUICK_BLEND);
         if failed && s.failing > FAILING {
             self.suspect(id, false, out);
         } else if s.suspect && s.failing <= FAILING / 3.0 {
@@ -686,10 +693,12 @@
     fn send(&mut self, id: RequestId, to: ServerId, out: &mut Vec<Action>) {
         self.unhold(id);
         let now = self.now;
-        let left = self.servers.get(&to).map_or(0.0, |s| self.allowance(s));
+        // A warm server has no budget, and takes no debt along if it turns cold.
+        let cost = |s: &Server| f64::from(self.warmth(s, now) < 1.0);
+        let left = self.servers.get(&to).map_or(0.0, |s| self.allowance(s) - cost(s));
         let (Some(open), Some(s)) = (self.open.get_mut(&id), self.servers.get_mut(&to)) else { return };
         s.out += 1;
-        s.allowed = (left - 1.0, now);
+        s.allowed = (left, now);
         open.out.push(open.attempts);
         open.tried.push(to);
         let Open { class, session, fell_back, useful, .. } = *open;
@@ -836,6 +845,8 @@
         s.out = s.out.saturating_sub(u32::from(!lost));
         if matches!(o.ending, Ending::Ok | Ending::Miss | Ending::Error) {
             s.answered = s.answered.max(Some(sent));
+            // It answers what it had before a connection was turned down: its process never ended.
+            s.down_at = s.down_at.filter(|at| *at <= sent);
         } else if o.ending == Ending::Full {
             s.last_reply = Some(self.now);
         }
@@ -874,7 +885,9 @@
         match o.ending {
             Ending::Ok | Ending::Miss => self.heard(server, false, out),
             Ending::Error => self.heard(server, true, out),
-            Ending::ConnectFailed | Ending::Reset => self.suspect(server, true, out),
+            Ending::ConnectFailed => self.suspect(server, true, out),
+            // Connections break for many reasons. If its process died, the next connect will tell.
+            Ending::Broken | Ending::Reset => self.tally(server, true, out),
             // It turns work away at once, so it would look idle and draw all of it.
             Ending::Full => self.suspect(server, false, out),
             Ending::Timeout | Ending::Cancelled | Ending::Moot => {}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -309,3 +309,59 @@
     rig.list(&[member(199, MemberState::Ready)]);
     assert!(!rig.router.knows(ServerId(P)));
 }
+
+#[test]
+fn connections_that_break_do_not_shut_a_server_out_nor_make_it_cold() {
+    for ending in [Ending::Broken, Ending::Reset] {
+        let mut rig = Rig::new(settings());
+        let (id, got) = rig.ask(WRITE);
+        assert_eq!(sends(&got), [P]);
+        let got = rig.end(id, 0, P, ending);
+        assert_eq!(failed(&got), ending == Ending::Reset);
+        // What never ran goes again after a pause, to the same primary, and so does the next write.
+        let again = if ending == Ending::Broken { vec![P] } else { vec![] };
+        assert_eq!(sends(&rig.pass(50 * MS)), again);
+        assert_eq!(sends(&rig.ask(WRITE).1), [P], "{ending:?}");
+    }
+}
+
+#[test]
+fn what_a_server_was_sent_while_warm_is_no_debt_when_it_turns_cold() {
+    let mut rig = Rig::bare(settings());
+    // It serves far more than the mean of all.
+    let others = [R1, R2].map(|id| Member { group: GroupId(1), ..member(id, MemberState::Ready) });
+    rig.list(&[vec![member(P, MemberState::Ready)], others.to_vec()].concat());
+    for _ in 0..500 {
+        let (id, _) = rig.ask(WRITE);
+        rig.pass(5 * MS);
+        rig.end(id, 0, P, Ending::Ok);
+        rig.pass(5 * MS);
+    }
+    // Refused at once: no process runs. The one that comes next is cold, and gets a cold one's part.
+    let (id, _) = rig.ask(WRITE);
+    rig.end(id, 0, P, Ending::ConnectFailed);
+    assert_eq!(sends(&rig.pass(1_500 * MS)), [P], "a trial");
+    rig.end(id, 1, P, Ending::Ok);
+    let mut sent = 0;
+    for _ in 0..100 {
+        sent += sends(&rig.ask(WRITE).1).len() + sends(&rig.pass(10 * MS)).len();
+    }
+    assert!(sent > 0, "it takes work again");
+}
+
+#[test]
+fn an_answer_to_what_was_sent_before_a_refusal_proves_that_the_process_lives() {
+    let warm_after = |answered: bool| {
+        let mut rig = Rig::new(settings());
+        let (early, got) = rig.ask(WRITE);
+        assert_eq!(sends(&got), [P]);
+        rig.pass(5 * MS);
+        let (late, _) = rig.ask(WRITE);
+        rig.end(late, 0, P, Ending::ConnectFailed);
+        rig.end(early, 0, P, if answered { Ending::Ok } else { Ending::Reset });
+        rig.pass(100 * MS);
+        (0..3).filter(|_| sends(&rig.ask(WRITE).1) == [P]).count()
+    };
+    assert_eq!(warm_after(true), 3);
+    assert!(warm_after(false) < 3, "a cold one has its budget");
+}
