Pass on databases' values of up to 1 MiB

Checked by a probe that logged the bytes: all 3532 were one message too long, a value of 100 to 460 KB, well formed throughout. What clients write stays at 64 KiB.

--- a/proxy/src/pg/codec.rs
+++ b/proxy/src/pg/codec.rs
@@ -4,10 +4,13 @@
 
 /// The longest message of a client: a value of 64 KiB in hex, and the statement round it.
 pub const MAX_QUERY: usize = (128 << 10) + 4096;
-/// The longest value.
+/// The longest value that a client may write.
 pub const MAX_VALUE: usize = 64 << 10;
+/// The longest value that a database may answer with: some hold values of several hundred KiB, which are none
+/// the worse for it.
+const MAX_ANSWER: usize = 1 << 20;
 /// The longest message of a database: a value and what goes round it.
-pub const MAX_REPLY: usize = MAX_VALUE + 4096;
+pub const MAX_REPLY: usize = MAX_ANSWER + 4096;
 /// As PostgreSQL itself has it.
 const MAX_STARTUP: usize = 10_000;
 /// Tags of the messages that a client or a database may send.
@@ -356,7 +359,7 @@
 fn value(body: &[u8]) -> Option<&[u8]> {
     let (length, value) = body.strip_prefix(&[0, 1])?.split_at_checked(4)?;
     let fits = be32(length).and_then(|l| usize::try_from(l).ok()) == Some(value.len());
-    (fits && value.len() <= MAX_VALUE).then_some(value)
+    (fits && value.len() <= MAX_ANSWER).then_some(value)
 }
 
 /// The code among an error's fields.
