Refuse by half of its time what no database has had whole

Checked: policy.rs hold, which knew only that last moment. Ruled out: answers waiting in the proxy itself (0.2 ms from an answer to the client at the 99th percentile). Now a held request that no server has had whole is refused by half of its time, when its client can still come back; one that was turned away, or missed, is held on as before. Test: what_no_server_has_had_is_refused_by_half_of_its_time...; it fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -117,6 +117,9 @@
     token: Option<Micros>,
     /// The last moment when an answer is worth anything, never after the client gives up.
     useful: Micros,
+    /// No server has had it whole. Still so at half of its time, it is refused: its client can come back.
+    unsent: bool,
+    half: Micros,
     key: Place,
     attempts: u16,
     out: Vec<u16>,
@@ -624,6 +627,8 @@
             session: request.session,
             token: self.token(&request),
             useful,
+            unsent: true,
+            half: self.now + request.patience.max(0) / 2 - SOON,
             lot: self.rng.f64(),
             key: (c.need != Need::Write, -(c.worth * 1000.0) as i64, -self.arrivals, request.id),
             ..Open::default()
@@ -718,11 +723,12 @@
             None => (pause, self.within(open.class, HOLD_DEVIATIONS)),
         };
         // What can no longer be answered in time is given up at once.
-        if self.now + needed >= open.useful || open.attempts >= self.set.max_attempts || ran_out {
+        let end = if open.unsent { open.useful.min(open.half + needed) } else { open.useful };
+        if self.now + needed >= end || open.attempts >= self.set.max_attempts || ran_out {
             self.give_up(id, out);
             return;
         }
-        let at = (self.now + pause).min(open.useful - needed);
+        let at = (self.now + pause).min(end - needed);
         self.groups.entry(open.group).or_default().held.insert(open.key);
         self.set_wake(id, at);
     }
@@ -894,6 +900,7 @@
         }
         if let Some(open) = self.open.get_mut(&o.request) {
             open.out.retain(|n| *n != o.attempt.0);
+            open.unsent &= matches!(o.ending, Ending::ConnectFailed | Ending::Broken | Ending::Moot);
             if !o.ending.never_ran() && open.ran_at.is_none_or(|r| sent < r.0) {
                 open.ran_at = Some((sent, server));
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -365,3 +365,25 @@
     assert_eq!(warm_after(true), 3);
     assert!(warm_after(false) < 3, "a cold one has its budget");
 }
+
+#[test]
+fn what_no_server_has_had_is_refused_by_half_of_its_time_and_not_before_it_must() {
+    // No connection comes up, or there is nobody to send to at all.
+    for servers in [&[P][..], &[]] {
+        let mut rig = Rig::bare(settings());
+        rig.list(&servers.iter().map(|id| member(*id, MemberState::Ready)).collect::<Vec<_>>());
+        let (id, got) = rig.ask(WRITE);
+        for _ in sends(&got) {
+            rig.end(id, 0, P, Ending::Broken);
+            rig.list(&[]);
+        }
+        assert!(!refused(&rig.pass(900 * MS)));
+        assert!(refused(&rig.pass(100 * MS)));
+    }
+    // One that a server turned away has been with it.
+    let mut rig = Rig::new(settings());
+    let (id, _) = rig.ask(WRITE);
+    rig.end(id, 0, P, Ending::Full);
+    rig.list(&[]);
+    assert!(!refused(&rig.pass(1_200 * MS)));
+}
