Share descriptors evenly; clients make room where the system gives databases none

Seen on reading, with the limits at hand: databases had a third of the descriptors (78 of 256), fewer than the 85 requests that clients may hold, so attempts could end unsent; and where the system gives fewer descriptors than the limit told, idle clients kept them and no database could be reached. An answer of discovery without end in its chunks was kept whole. Now both sides have half; a connection to a database that finds no descriptor closes an idle one of the pool, or has a client make room, and the next attempt gets it; discovery's answer is bounded.

--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -109,6 +109,9 @@
     /// Takes bytes; an answer comes out once it is whole. `None` news: it is old, and not to be applied.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Option<Update>>, Broken> {
         self.input.extend_from_slice(bytes);
+        if self.input.len() > MAX_HEAD + 2 * MAX_BODY {
+            return Err(Broken("an answer without end".into()));
+        }
         let Some(body) = body(&self.input, false)? else { return Ok(None) };
         self.news(&body).map(Some)
     }
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -213,6 +213,11 @@
         self.retry_set = false;
     }
 
+    /// Databases lack descriptors that clients hold.
+    pub fn make_room(&mut self, cx: &mut Cx) {
+        self.shed(cx, None);
+    }
+
     /// Closes the client that makes room first, but not the newcomer.
     fn shed(&mut self, cx: &mut Cx, newcomer: Option<usize>) {
         for _ in 0..TURN {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -82,7 +82,7 @@
     let clock = Clock::new();
     let now = clock.now();
     let free = config.sockets - OWN_SOCKETS;
-    let for_databases = free / 3;
+    let for_databases = free / 2;
     let clients = Clients::new(poll.registry(), config.listen, &config.site, free - for_databases)?;
     let known = config.known.take();
     let deadlines = config.site.module.classes.iter().map(|c| c.deadline);
@@ -164,7 +164,12 @@
             }
             self.carry_out();
         }
-        self.with(|clients, _, _, cx| clients.go_on(cx));
+        self.with(|clients, pool, _, cx| {
+            clients.go_on(cx);
+            if pool.starved() {
+                clients.make_room(cx);
+            }
+        });
         self.carry_out();
         self.now = self.clock.now();
         while let Some(due) = self.timers.due(self.now) {
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -49,6 +49,8 @@
     idle: HashMap<ServerId, Vec<usize>>,
     attempts: HashMap<Attempt, usize>,
     most: usize,
+    /// The system had no socket to give, and no idle connection was there to make room.
+    starved: bool,
     serial: u64,
     /// A probe on a connection that is up gets as long.
     connect_timeout: Micros,
@@ -71,6 +73,7 @@
             idle: HashMap::new(),
             attempts: HashMap::new(),
             most,
+            starved: false,
             serial: 0,
             connect_timeout: site.module.connect_timeout.max(1),
             idle_limit: (site.conn_idle as f64 * IDLE_KEPT) as Micros,
@@ -158,10 +161,8 @@
     /// A new connection. Where there is no socket for it the server is not to blame, and nothing was sent.
     fn open(&mut self, cx: &mut Cx, server: ServerId) -> Result<usize, Ending> {
         let address = cx.core.address(server).ok_or(Ending::ConnectFailed)?;
-        if self.slots.len() >= self.most {
-            let oldest = self.idle.values().filter_map(|keys| keys.first());
-            let oldest = oldest.min_by_key(|k| self.slots[**k].idle_since).copied().ok_or(Ending::Moot)?;
-            self.close(cx, oldest, "evicted");
+        if self.slots.len() >= self.most && !self.evict(cx) {
+            return Err(Ending::Moot);
         }
         let failed = |cx: &Cx, reason, error| {
             log!(
@@ -176,7 +177,9 @@
                 return Err(Ending::ConnectFailed);
             }
             Err(e) => {
+                // Fewer than the limit told: one of our own makes room for the next.
                 failed(cx, "no-socket", e);
+                self.starved |= !self.evict(cx);
                 return Err(Ending::Moot);
             }
         };
@@ -205,6 +208,18 @@
         Ok(key)
     }
 
+    /// Closes the connection that has been idle longest. False: none is idle.
+    fn evict(&mut self, cx: &mut Cx) -> bool {
+        let oldest = self.idle.values().filter_map(|keys| keys.first());
+        let oldest = oldest.min_by_key(|k| self.slots[**k].idle_since).copied();
+        oldest.map(|key| self.close(cx, key, "evicted")).is_some()
+    }
+
+    /// Somebody else must make room. Told once.
+    pub fn starved(&mut self) -> bool {
+        std::mem::take(&mut self.starved)
+    }
+
     /// Writes the job's query to a connection that is up and idle.
     fn ask(&mut self, cx: &mut Cx, key: usize, job: Job) {
         let c = &mut self.slots[key];
