Have idle clients make room before all places are taken; leave newcomers time to speak

Checked by probes that logged who was shed, what filled the places and what had been asked: the module refused 17 requests in all; 165 to 170 of 182 places were held by idle connections, most answered once and kept 1 to 3 s by their clients, or used for an empty query only. Clients had no connection left to open. Ruled out: the module, databases, rejected statements. Wrong was clients.rs accept, which had idle clients make room at the limit only, and rank, which put those that have yet to speak first. Now, beyond two fifths of the places, a newcomer has an idle one make room: first those that had time for a request and brought none, then those idle longest.

--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -57,10 +57,17 @@
         matches!(self.closing, Some((_, Parting::Lingers { .. })))
     }
 
-    /// Who makes room first: those that are only told goodbye, those that never said who they are, for a
-    /// flood of them would drive out those who did, and then those idle longest.
-    fn rank(&self) -> (bool, bool, Micros) {
-        (!self.lingers(), !self.machine.starting(), self.active)
+    /// Who makes room first: those that have been told goodbye; those that had time for a request and brought none, for a
+    /// flood of them would drive out those who do; those idle longest; and last those that have just come.
+    fn rank(&self, now: Micros) -> (u8, Micros) {
+        let since = self.unfinished.unwrap_or(self.active);
+        let class = match self.served {
+            _ if self.lingers() => 0,
+            0 if self.machine.asked() || now - since >= GRACE => 1,
+            0 => JUST_CAME,
+            _ => 2,
+        };
+        (class, since)
     }
 }
 
@@ -69,6 +76,9 @@
     slots: Slab<Client>,
     desk: Desk,
     most: usize,
+    /// Beyond so many, idle ones make room before all places are taken: clients that keep connections they do
+    /// not use have none left to open.
+    many: usize,
     /// More may wait to be accepted.
     waiting: bool,
     retry_set: bool,
@@ -114,6 +124,9 @@
 const ROUNDS: usize = 4;
 /// A client that does not read its answers is closed after this time: every deadline is shorter.
 const SILENT: Micros = 10_000_000;
+/// A newcomer's first bytes are on their way for so long: until then it makes room for nobody who came later.
+const GRACE: Micros = 300_000;
+const JUST_CAME: u8 = 3;
 /// For a first command, and for the rest of one begun.
 const UNFINISHED: Micros = 2_000_000;
 /// A connection on which nothing was asked for so long is closed.
@@ -132,6 +145,7 @@
             slots: Slab::new(),
             desk: Desk { classes: Classes::new(site), ids: HashSet::new() },
             most,
+            many: most * 2 / 5,
             waiting: false,
             retry_set: false,
             leaving: false,
@@ -186,7 +200,9 @@
                     let key = self.admit(cx, stream, peer);
                     // Room is made after the fact, for only now it is known that someone came.
                     if self.slots.len() > self.most || self.spare.is_none() {
-                        self.shed(cx, key);
+                        self.shed(cx, key, JUST_CAME);
+                    } else if self.slots.len() > self.many {
+                        self.shed(cx, key, JUST_CAME - 1);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.waiting = false,
@@ -196,7 +212,7 @@
                 Err(e) => {
                     // Trying again at once would spin.
                     log!("event=accept-failed error=\"{e}\"");
-                    self.shed(cx, None);
+                    self.shed(cx, None, JUST_CAME);
                     self.pause(cx);
                 }
             }
@@ -215,20 +231,21 @@
 
     /// Databases lack descriptors that clients hold.
     pub fn make_room(&mut self, cx: &mut Cx) {
-        self.shed(cx, None);
+        self.shed(cx, None, JUST_CAME);
     }
 
-    /// Closes the client that makes room first, but not the newcomer.
-    fn shed(&mut self, cx: &mut Cx, newcomer: Option<usize>) {
+    /// Closes the client that makes room first, but not the newcomer, nor one of a higher class.
+    fn shed(&mut self, cx: &mut Cx, newcomer: Option<usize>, class: u8) {
         for _ in 0..TURN {
             let spareable = self.slots.iter().filter(|(k, c)| Some(*k) != newcomer && c.spareable());
-            let first = spareable.min_by_key(|(_, c)| c.rank());
-            let Some((key, before)) = first.map(|(k, c)| (k, c.rank())) else { return };
+            let ranks = spareable.map(|(k, c)| (c.rank(cx.now), k));
+            let first = ranks.filter(|(rank, _)| rank.0 <= class).min();
+            let Some((before, key)) = first else { return };
             // What came in meanwhile is read first: a request must not cross with the end.
             self.ready(cx, key);
             match self.slots.get(key) {
                 None => return,
-                Some(c) if c.spareable() && c.rank() == before => return self.close(cx, key, "shed"),
+                Some(c) if c.spareable() && c.rank(cx.now) == before => return self.close(cx, key, "shed"),
                 Some(_) => {}
             }
         }
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -81,6 +81,11 @@
         self.turn == 0 && matches!(self.phase, Phase::Ready | Phase::UntilSync) && self.inbox.len() > 0
     }
 
+    /// A whole command has come, at any time.
+    pub fn asked(&self) -> bool {
+        self.taken > 0
+    }
+
     /// Nothing whole was ever asked, or something is left unfinished.
     pub fn unfinished(&self) -> bool {
         self.taken == 0 || (self.inbox.len() > 0 && self.waits && !matches!(self.phase, Phase::Busy { .. }))
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -108,6 +108,7 @@
         let (deed, rest) = rest.split_once(' ').unwrap_or((rest, ""));
         match (party, deed) {
             ("config" | "descriptors", _) => {}
+            ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
             ("reload", _) => {
                 let (path, text) = &self.config;
                 let (old, new) = line.strip_prefix("reload ").unwrap().split_once(" => ").unwrap();
