--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -57,8 +57,9 @@
         matches!(self.closing, Some((_, Parting::Lingers { .. })))
     }
 
-    /// Who makes room first: those that have been told goodbye; those that had time for a request and brought none, for a
-    /// flood of them would drive out those who do; those idle longest; and last those that have just come.
+    /// Who makes room first: those that have been told goodbye; those that had time for a request and
+    /// brought none, for a flood of them would drive out those who do; those idle longest; and last those
+    /// that have just come.
     fn rank(&self, now: Micros) -> (u8, Micros) {
         let since = self.unfinished.unwrap_or(self.active);
         let class = match self.served {
