Take over the listening socket; open a door for operators with status and figures

Its log says 'listening on ...: address in use': Clients::new in net/clients.rs bound what the platform holds. After SIGTERM the end of a connection follows its next answer, so it crosses with no request.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,5 +1,5 @@
 //! What the proxy is told at its start, and again at each SIGHUP: `RELAY_CONFIG` names a JSON file; `RELAY_NAME`,
-//! `RELAY_LISTEN` and `RELAY_DISCOVERY` stand in for what that file leaves out.
+//! `RELAY_LISTEN`, `RELAY_DISCOVERY` and `RELAY_OPERATOR` stand in for what that file leaves out.
 
 use crate::discovery::Update;
 use birchreach_settings::Site;
@@ -16,6 +16,10 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operator: Option<SocketAddr>,
+    /// The descriptor of the listening socket, where the platform holds it.
+    pub inherited: Option<i32>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -31,6 +35,7 @@
         let parts = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("operator", self.operator != new.operator),
             ("limits", self.sockets != new.sockets),
             ("settings", self.site != new.site),
         ];
@@ -60,6 +65,10 @@
         let word = word(key, variable)?;
         word.parse().map_err(|_| format!("{key}: expected an address and a port, found '{word}'"))
     };
+    let operator = match root.get("operator") {
+        None | Some(Value::Null) if env("RELAY_OPERATOR").is_none() => None,
+        _ => Some(address("operator", "RELAY_OPERATOR")?),
+    };
     let sockets = match root.get("limits").and_then(|l| l.get("sockets")) {
         None | Some(Value::Null) => SOCKETS,
         Some(v) => v.as_u64().filter(|n| *n >= LEAST_SOCKETS).ok_or("limits.sockets: expected 40 or more")?,
@@ -73,6 +82,8 @@
         name: word("name", "RELAY_NAME").unwrap_or_else(|_| "proxy".into()),
         listen: address("listen", "RELAY_LISTEN")?,
         discovery: address("discovery", "RELAY_DISCOVERY")?,
+        operator,
+        inherited: env("RELAY_INHERITED_FD").and_then(|fd| fd.trim().parse().ok()).filter(|fd| *fd > 2),
         seed: seed(root.get("seed")),
         sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
         known,
--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -4,6 +4,7 @@
 
 use crate::config::hash;
 use crate::discovery::{State, Update};
+use crate::stats::{End, Gauges, Stats};
 use birchreach::*;
 use birchreach_settings::Site;
 use std::collections::{HashMap, VecDeque};
@@ -73,6 +74,8 @@
 
 struct Entry<W> {
     client: usize,
+    /// Its class's row among the figures.
+    row: usize,
     work: W,
     attempts: u16,
 }
@@ -93,6 +96,9 @@
     /// Servers named so far: a number is never given twice.
     named: u32,
     last_id: u64,
+    pub stats: Stats,
+    /// Each class's row there.
+    rows: Vec<usize>,
     actions: Vec<Action>,
     commands: VecDeque<Command<W>>,
 }
@@ -102,6 +108,7 @@
     uid: String,
     address: Option<SocketAddr>,
     group: GroupId,
+    removed: bool,
 }
 
 /// All machines read one clock, but not at the same instant.
@@ -111,8 +118,12 @@
     pub fn new(site: &Site, seed: u64, now: Micros) -> Core<W> {
         let mut actions = Vec::new();
         let router = Router::new(site.module.clone(), seed, now, &mut actions);
+        let mut stats = Stats::default();
+        let rows = site.class_names.iter().map(|name| stats.class(name)).collect();
         let mut core = Core {
             router,
+            stats,
+            rows,
             zones: site.zones.clone(),
             requests: HashMap::new(),
             out: HashMap::new(),
@@ -135,6 +146,13 @@
         self.requests.len()
     }
 
+    /// What is so just now.
+    pub fn gauges(&self) -> Gauges {
+        let listed = self.servers.iter().filter(|(_, s)| !s.removed);
+        let skipped = listed.clone().filter(|(id, _)| self.router.avoids(**id)).count();
+        Gauges { in_progress: self.requests.len(), known: listed.count(), skipped }
+    }
+
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.servers.get(&server)?.address
     }
@@ -189,6 +207,12 @@
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(entry) = self.requests.remove(&request) {
+            let end = match answer {
+                Answer::Served(_) => End::Served,
+                Answer::Refused { .. } => End::Refused,
+                Answer::Failed => End::Failed,
+            };
+            self.stats.ended(entry.row, end);
             self.commands.push_back(Command::Answer { client: entry.client, request, answer });
         }
     }
@@ -197,7 +221,8 @@
     pub fn request(&mut self, now: Micros, client: usize, ask: Ask, work: W) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        self.requests.insert(id, Entry { client, work, attempts: 0 });
+        let row = self.rows.get(usize::from(ask.class.0)).copied().unwrap_or(usize::MAX);
+        self.requests.insert(id, Entry { client, row, work, attempts: 0 });
         let request = Request {
             id,
             class: ask.class,
@@ -256,6 +281,10 @@
     pub fn members(&mut self, now: Micros, update: Update) -> Vec<ServerId> {
         let mut moved = Vec::new();
         let mut members = Vec::new();
+        if update.all {
+            // Whom a whole list does not name has left.
+            self.servers.values_mut().for_each(|s| s.removed = true);
+        }
         for t in update.targets {
             let next = ServerId(self.named);
             let server = *self.roster.entry(t.uid.clone()).or_insert(next);
@@ -267,8 +296,14 @@
             }
             let address = t.endpoint.parse().ok();
             let group = GroupId(t.group);
-            let listed = self.servers.entry(server).or_insert(Listed { uid: t.uid, address: None, group });
+            let listed = self.servers.entry(server).or_insert(Listed {
+                uid: t.uid,
+                address: None,
+                group,
+                removed: false,
+            });
             listed.group = group;
+            listed.removed = t.state == State::Removed;
             if listed.address != address || t.state == State::Removed {
                 moved.push(server);
                 listed.address = address.or(listed.address);
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -5,8 +5,10 @@
 mod discovery;
 mod log;
 mod net;
+mod operator;
 mod outbox;
 mod pg;
+mod stats;
 
 fn main() {
     // Before all else: until they are caught, signals end the process.
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -29,6 +29,8 @@
     /// To be closed, and how: at once, or after the client had its time to hear why.
     closing: Option<(&'static str, Parting)>,
     active: Micros,
+    /// It was answered after the handover began: its end follows the answer.
+    last: bool,
     /// Since when something that it began is not whole; its first command from its connect on.
     unfinished: Option<Micros>,
 }
@@ -85,6 +87,8 @@
     retry_set: bool,
     /// Connections close once they are idle: the proxy is stopping.
     leaving: bool,
+    /// Another process takes the clients: each connection closes with its next answer.
+    handing: bool,
     /// Clients with more input than one turn takes.
     unread: Vec<usize>,
     /// A descriptor kept in hand: when the system has none to give, it lets one more client in, and with
@@ -137,10 +141,14 @@
 const SPARE_INPUT: usize = 1 << 20;
 
 impl Clients {
-    pub fn new(registry: &Registry, listen: SocketAddr, site: &Site, most: usize) -> Result<Clients, String> {
-        let mut listener = TcpListener::bind(listen).map_err(|e| format!("listening on {listen}: {e}"))?;
+    pub fn new(
+        registry: &Registry,
+        mut listener: TcpListener,
+        site: &Site,
+        most: usize,
+    ) -> Result<Clients, String> {
         let registered = registry.register(&mut listener, LISTENER, Interest::READABLE);
-        registered.map_err(|e| format!("watching {listen}: {e}"))?;
+        registered.map_err(|e| format!("watching the listener: {e}"))?;
         Ok(Clients {
             listener: Some(listener),
             slots: Slab::new(),
@@ -150,6 +158,7 @@
             waiting: false,
             retry_set: false,
             leaving: false,
+            handing: false,
             unread: Vec::new(),
             spare: spare(),
         })
@@ -270,6 +279,7 @@
             unread: false,
             closing: None,
             active: cx.now,
+            last: false,
             unfinished: Some(cx.now),
         });
         Some(key)
@@ -287,8 +297,8 @@
         let Some(c) = self.slots.get_mut(key) else { return };
         match Self::serve(cx, &mut self.desk, key, c) {
             Some(reason) => self.close(cx, key, reason),
-            None if self.leaving && c.request.is_none() && c.machine.idle() => {
-                self.close(cx, key, "stopping")
+            None if (self.leaving || c.last) && c.request.is_none() && c.machine.idle() => {
+                self.close(cx, key, if self.leaving { "stopping" } else { "handed-over" })
             }
             None if c.unread => self.unread.push(key),
             None => {}
@@ -402,6 +412,7 @@
         let Some((_, work)) = c.request.take_if(|(id, _)| *id == request) else { return };
         self.desk.ids.remove(work.id());
         c.served += 1;
+        c.last = self.handing;
         c.machine.answer(answer);
         self.go(cx, key);
     }
@@ -456,6 +467,15 @@
         }
     }
 
+    /// Another process has the listening socket too, and takes whoever waits in its queue: nobody more is
+    /// accepted here, and each client is sent there behind its next answer.
+    pub fn hand_over(&mut self, cx: &mut Cx) {
+        if let Some(mut listener) = self.listener.take() {
+            let _ = cx.registry.deregister(&mut listener);
+        }
+        self.handing = true;
+    }
+
     /// Accepts what has arrived, then takes no more, and closes each connection once it is idle.
     pub fn leave(&mut self, cx: &mut Cx) {
         self.waiting = true;
--- /dev/null
+++ b/proxy/src/net/door.rs
@@ -0,0 +1,143 @@
+//! The operators' door: its listener and callers. It has descriptors of its own, and silent callers make
+//! room for those who speak.
+
+use super::pool::Cx;
+use super::stream;
+use super::{CALLERS, DOOR, STEP};
+use crate::log::log;
+use crate::operator::{Call, Caller};
+use birchreach::Micros;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+use std::io::ErrorKind;
+use std::net::{Shutdown, SocketAddr};
+
+/// Callers at once; one more, and the one that has been there longest goes.
+pub const MOST: usize = 8;
+/// A caller that finishes no call is sent away after this time.
+const SILENT: Micros = 5_000_000;
+/// Accepted in one turn of the loop at most, and what is read of one caller.
+const TURN: usize = 16;
+const READ_TURN: usize = 64 << 10;
+
+struct Open {
+    stream: TcpStream,
+    machine: Caller,
+    since: Micros,
+}
+
+pub struct Door {
+    listener: Option<TcpListener>,
+    slots: Slab<Open>,
+    waiting: bool,
+}
+
+impl Door {
+    /// Without an address there is no door.
+    pub fn new(registry: &Registry, address: Option<SocketAddr>) -> Result<Door, String> {
+        let mut door = Door { listener: None, slots: Slab::new(), waiting: false };
+        if let Some(address) = address {
+            let bound = TcpListener::bind(address);
+            let mut listener = bound.map_err(|e| format!("listening for operators on {address}: {e}"))?;
+            let registered = registry.register(&mut listener, DOOR, Interest::READABLE);
+            registered.map_err(|e| format!("watching {address}: {e}"))?;
+            door.listener = Some(listener);
+        }
+        Ok(door)
+    }
+
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.local_addr().ok()
+    }
+
+    pub fn knock(&mut self) {
+        self.waiting = true;
+    }
+
+    /// More may wait than one turn takes.
+    pub fn pressing(&self) -> bool {
+        self.waiting
+    }
+
+    pub fn accept(&mut self, cx: &mut Cx) {
+        for _ in 0..TURN {
+            let Some(listener) = self.listener.as_ref().filter(|_| self.waiting) else { return };
+            match listener.accept() {
+                Ok((mut stream, _)) => {
+                    if self.slots.len() >= MOST {
+                        let oldest = self.slots.iter().min_by_key(|(_, c)| c.since).map(|(k, _)| k);
+                        oldest.into_iter().for_each(|key| self.close(cx, key, "shed"));
+                    }
+                    let slot = self.slots.vacant_entry();
+                    let token = Token(CALLERS + slot.key() * STEP);
+                    let wanted = Interest::READABLE | Interest::WRITABLE;
+                    if cx.registry.register(&mut stream, token, wanted).is_ok() {
+                        slot.insert(Open { stream, machine: Caller::default(), since: cx.now });
+                    }
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                // Those who wait are told of again with the next who comes, and looked for by the sweep.
+                Err(_) => self.waiting = false,
+            }
+        }
+    }
+
+    /// Reads what a caller says; its call is the loop's to answer.
+    pub fn ready(&mut self, cx: &mut Cx, key: usize) -> Option<Call> {
+        let c = self.slots.get_mut(key)?;
+        let (machine, mut call, mut read) = (&mut c.machine, None, 0);
+        let drained = stream::read(&mut c.stream, cx.scratch, |bytes| {
+            read += bytes.len();
+            call = call.or_else(|| machine.feed(bytes));
+            read < READ_TURN
+        });
+        if drained == Err(stream::Ended::Reset) {
+            self.close(cx, key, "reset");
+            return None;
+        }
+        if drained.is_err() && call.is_none() {
+            call = c.machine.ended();
+            if call.is_none() && !c.machine.done() {
+                self.close(cx, key, "closed");
+                return None;
+            }
+        }
+        if call.is_none() {
+            self.write(cx, key);
+        }
+        call
+    }
+
+    /// The caller's machine, for the reply; `write` sends it.
+    pub fn caller(&mut self, key: usize) -> Option<&mut Caller> {
+        self.slots.get_mut(key).map(|c| &mut c.machine)
+    }
+
+    /// Writes what is to be said, and ends once all of it has gone.
+    pub fn write(&mut self, cx: &mut Cx, key: usize) {
+        let Some(c) = self.slots.get_mut(key).filter(|c| c.machine.done()) else { return };
+        match stream::write(&mut c.stream, &mut c.machine.out) {
+            Ok(false) => {}
+            Ok(true) => {
+                let _ = c.stream.shutdown(Shutdown::Write);
+                self.close(cx, key, "answered");
+            }
+            Err(_) => self.close(cx, key, "reset"),
+        }
+    }
+
+    pub fn sweep(&mut self, cx: &mut Cx) {
+        self.waiting = self.listener.is_some();
+        let silent = self.slots.iter().filter(|(_, c)| cx.now - c.since >= SILENT);
+        for key in silent.map(|(k, _)| k).collect::<Vec<_>>() {
+            self.close(cx, key, "silent");
+        }
+    }
+
+    fn close(&mut self, cx: &mut Cx, key: usize, reason: &str) {
+        let mut c = self.slots.remove(key);
+        let _ = cx.registry.deregister(&mut c.stream);
+        log!("conn=operator reason={reason}");
+    }
+}
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -3,6 +3,8 @@
 
 mod agent;
 mod clients;
+mod door;
+mod listener;
 mod pool;
 mod stream;
 mod timers;
@@ -11,9 +13,11 @@
 use crate::core::{Attempt, Command, Core};
 use crate::discovery::Update;
 use crate::log::log;
+use crate::operator::Call;
 use agent::Agent;
 use birchreach::Micros;
 use clients::Clients;
+use door::Door;
 use mio::{Events, Poll, Token};
 use pool::{Cx, Pool, Work};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -24,10 +28,12 @@
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
 const AGENT: Token = Token(2);
-/// Clients and databases take turns behind these: place k of a slab has token first + k * STEP.
-const CLIENTS: usize = 4;
-const BACKENDS: usize = 5;
-const STEP: usize = 2;
+const DOOR: Token = Token(3);
+/// Clients, databases and operators take turns behind these: place k of a slab has token first + k * STEP.
+const CLIENTS: usize = 6;
+const BACKENDS: usize = 7;
+const CALLERS: usize = 8;
+const STEP: usize = 3;
 
 /// What a timer was set for.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,11 +51,14 @@
     Exit,
 }
 
-/// Descriptors kept for the rest: standard streams, poll, signals, listener, discovery.
-const OWN_SOCKETS: usize = 20;
+/// Descriptors kept for the rest: standard streams, poll, signals, listeners, discovery, operators.
+const OWN_SOCKETS: usize = 16 + door::MOST;
 const SWEEP: Micros = 250_000;
 /// After SIGTERM connections still arrive for a while; they are served. Then idle clients are closed.
 const LINGER: Micros = 800_000;
+/// Where another process has the listener too, nobody new arrives here: idle clients have this time to ask once
+/// more, for an answer and the end behind it cross with no request.
+const HANDOVER: Micros = 600_000;
 /// Beyond the longest deadline, clients have gone: nothing more is owed to anyone.
 const LAST_CALL: Micros = 1_500_000;
 
@@ -63,6 +72,7 @@
     clients: Clients,
     pool: Pool,
     agent: Agent,
+    door: Door,
     config: Config,
     longest_deadline: Micros,
     stopping: bool,
@@ -83,7 +93,9 @@
     let now = clock.now();
     let free = config.sockets - OWN_SOCKETS;
     let for_databases = free / 2;
-    let clients = Clients::new(poll.registry(), config.listen, &config.site, free - for_databases)?;
+    let listener = listener::open(config.listen, config.inherited)?;
+    let clients = Clients::new(poll.registry(), listener, &config.site, free - for_databases)?;
+    let door = Door::new(poll.registry(), config.operator)?;
     let known = config.known.take();
     let deadlines = config.site.module.classes.iter().map(|c| c.deadline);
     let mut proxy = Proxy {
@@ -95,6 +107,7 @@
         clients,
         pool: Pool::new(&config.site, for_databases),
         agent: Agent::new(config.discovery, known.as_ref().map(|known| known.rev)),
+        door,
         longest_deadline: deadlines.max().unwrap_or(0),
         config,
         stopping: false,
@@ -103,7 +116,8 @@
     };
     let listen = proxy.clients.address().unwrap_or(proxy.config.listen);
     let Config { name, discovery, .. } = &proxy.config;
-    log!("event=started name={name} listen={listen} discovery={discovery}");
+    let operator = proxy.door.address().map_or(String::new(), |at| format!(" operator={at}"));
+    log!("event=started name={name} listen={listen} discovery={discovery}{operator}");
     if let Some(known) = known {
         proxy.members(Update { all: true, ..known });
     }
@@ -131,7 +145,7 @@
     }
 
     fn turn(&mut self, events: &mut Events, signals: &mut Signals) -> Result<(), String> {
-        let wait = if self.clients.pressing() {
+        let wait = if self.clients.pressing() || self.door.pressing() {
             Some(std::time::Duration::ZERO)
         } else {
             self.timers.wait(self.clock.now())
@@ -141,8 +155,19 @@
             _ => {}
         }
         self.now = self.clock.now();
+        // Operators before all else, however many others are ready.
         for event in events.iter() {
             match event.token() {
+                DOOR => self.door.knock(),
+                Token(t) if t >= CALLERS && t % STEP == CALLERS % STEP => self.operator((t - CALLERS) / STEP),
+                _ => {}
+            }
+        }
+        self.with_door(|door, cx| door.accept(cx));
+        for event in events.iter() {
+            match event.token() {
+                DOOR => {}
+                Token(t) if t >= CALLERS && t % STEP == CALLERS % STEP => {}
                 LISTENER => self.clients.knock(),
                 SIGNALS => {
                     for signal in signals.pending() {
@@ -179,6 +204,34 @@
         Ok(())
     }
 
+    fn with_door(&mut self, act: impl FnOnce(&mut Door, &mut Cx)) {
+        let mut cx = Cx {
+            now: self.now,
+            registry: self.poll.registry(),
+            timers: &mut self.timers,
+            core: &mut self.core,
+            scratch: &mut self.scratch,
+        };
+        act(&mut self.door, &mut cx);
+    }
+
+    /// An operator's connection is ready.
+    fn operator(&mut self, key: usize) {
+        let stopping = self.stopping;
+        self.with_door(|door, cx| {
+            let Some(call) = door.ready(cx, key) else { return };
+            let figures = cx.core.stats.lines(cx.core.gauges());
+            if let Some(caller) = door.caller(key) {
+                match call {
+                    Call::Status if stopping => caller.no("stopping"),
+                    Call::Status => caller.yes("it takes clients"),
+                    Call::Stats => caller.figures(&figures),
+                }
+            }
+            door.write(cx, key);
+        });
+    }
+
     fn fire(&mut self, due: Due) {
         if let Due::Module(id) = due {
             return self.core.timer(self.now, id);
@@ -199,6 +252,7 @@
             }
         });
         match due {
+            Due::Sweep => self.with_door(|door, cx| door.sweep(cx)),
             Due::Leave => {
                 self.with(|clients, _, _, cx| clients.leave(cx));
                 self.left = true;
@@ -250,8 +304,14 @@
     fn stop(&mut self) {
         if !std::mem::replace(&mut self.stopping, true) {
             log!("event=stopping open={}", self.core.open_requests());
-            self.timers.set(self.now + LINGER, Due::Leave);
-            self.timers.set(self.now + LINGER + self.longest_deadline + LAST_CALL, Due::Exit);
+            let linger = if self.config.inherited.is_some() {
+                self.with(|clients, _, _, cx| clients.hand_over(cx));
+                HANDOVER
+            } else {
+                LINGER
+            };
+            self.timers.set(self.now + linger, Due::Leave);
+            self.timers.set(self.now + linger + self.longest_deadline + LAST_CALL, Due::Exit);
         }
     }
 }
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -284,7 +284,9 @@
         }
         match stream::write(&mut c.stream, &mut c.machine.out) {
             Ok(all) => {
-                c.written |= c.asked && all;
+                if all && c.asked && !std::mem::replace(&mut c.written, true) {
+                    cx.core.stats.tries += u64::from(matches!(c.job, Some(Job::Attempt { .. })));
+                }
                 true
             }
             Err(_) => {
--- /dev/null
+++ b/proxy/src/operator.rs
@@ -0,0 +1,81 @@
+//! The operators' protocol: one line in, one reply out, and the connection is over. A machine that is fed
+//! bytes and knows no socket.
+
+use crate::outbox::Outbox;
+
+/// The longest line that is read.
+const LINE: usize = 256;
+
+/// What an operator asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Does this process take clients?
+    Status,
+    /// Its figures.
+    Stats,
+}
+
+/// A caller's connection.
+#[derive(Default)]
+pub struct Caller {
+    line: Vec<u8>,
+    done: bool,
+    pub out: Outbox,
+}
+
+impl Caller {
+    /// Takes bytes; a call comes out once its line is whole. What is no call is answered here.
+    pub fn feed(&mut self, bytes: &[u8]) -> Option<Call> {
+        if self.done {
+            // What comes behind the line is passed over.
+            return None;
+        }
+        let end = bytes.iter().position(|b| *b == b'\n');
+        let more = &bytes[..end.unwrap_or(bytes.len())];
+        if self.line.len() + more.len() > LINE {
+            self.no("the line is too long");
+            return None;
+        }
+        self.line.extend_from_slice(more);
+        end?;
+        self.whole()
+    }
+
+    /// The caller writes no more, which ends its line too.
+    pub fn ended(&mut self) -> Option<Call> {
+        if self.done || self.line.is_empty() { None } else { self.whole() }
+    }
+
+    fn whole(&mut self) -> Option<Call> {
+        match self.line.trim_ascii() {
+            b"status" => return Some(Call::Status),
+            b"stats" => return Some(Call::Stats),
+            b"" => self.no("an empty line; calls are: status, stats"),
+            _ => self.no("no such call; calls are: status, stats"),
+        }
+        None
+    }
+
+    pub fn yes(&mut self, what: &str) {
+        self.reply(&format!("YES {what}\n"));
+    }
+
+    pub fn no(&mut self, why: &str) {
+        self.reply(&format!("NO {why}\n"));
+    }
+
+    /// The figures, a line each, and a line that ends them.
+    pub fn figures(&mut self, lines: &str) {
+        self.reply(&format!("{lines}END\n"));
+    }
+
+    fn reply(&mut self, text: &str) {
+        self.out.raw(text.as_bytes());
+        self.done = true;
+    }
+
+    /// The reply is given.
+    pub fn done(&self) -> bool {
+        self.done
+    }
+}
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
@@ -15,9 +16,19 @@
 /// A byte to be sent, or matched; `None` matches any.
 type Bytes = Vec<Option<u8>>;
 
-struct Player {
+/// A process of the program, and where operators call it.
+struct Process {
     program: Child,
     log: Receiver<String>,
+    door: SocketAddr,
+}
+
+struct Player {
+    /// The one that the steps speak of comes first.
+    processes: Vec<Process>,
+    /// How each is started, and the clients' listening socket if the platform holds it.
+    shell: String,
+    shared: Option<TcpListener>,
     proxy: SocketAddr,
     listeners: HashMap<&'static str, TcpListener>,
     open: HashMap<String, TcpStream>,
@@ -29,13 +40,33 @@
     config: (String, String),
 }
 
-impl Drop for Player {
+impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.program.kill();
         let _ = self.program.wait();
     }
 }
 
+impl Process {
+    /// Starts the program and waits until it serves; also where clients connect, and its first log line.
+    fn start(shell: &str, config: &str, shared: Option<&TcpListener>) -> (Process, SocketAddr, String) {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", shell]).env("RELAY_CONFIG", config).env("TMPDIR", format!("{config}.tmp"));
+        if let Some(listener) = shared {
+            let handed = OwnedFd::from(listener.try_clone().unwrap());
+            command.stdin(Stdio::from(handed)).env("RELAY_INHERITED_FD", "3");
+        }
+        let mut program = command.stderr(Stdio::piped()).spawn().unwrap();
+        let (lines, log) = channel();
+        let errors = BufReader::new(program.stderr.take().unwrap());
+        std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| lines.send(l)));
+        let started = log.recv_timeout(PATIENCE).unwrap();
+        let at = |name| started.split(' ').find_map(|w| w.strip_prefix(name)).unwrap().parse().unwrap();
+        let (listen, door) = (at("listen="), at("operator="));
+        (Process { program, log, door }, listen, started)
+    }
+}
+
 fn plain(text: &str) -> Bytes {
     text.bytes().map(Some).collect()
 }
@@ -60,25 +91,20 @@
         }
         let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
         std::fs::write(&path, &config).unwrap();
-        let mut program = Command::new("/bin/sh")
-            .args([
-                "-c",
-                &format!("ulimit -n {descriptors}; exec '{}'", env!("CARGO_BIN_EXE_birchreach-proxy")),
-            ])
-            .env("RELAY_CONFIG", &path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (lines, log) = channel();
-        let errors = BufReader::new(program.stderr.take().unwrap());
-        std::thread::spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| lines.send(l)));
-        let started = log.recv_timeout(PATIENCE).unwrap();
-        let listen = started.split(' ').find_map(|w| w.strip_prefix("listen=")).unwrap().parse().unwrap();
+        let _ = std::fs::remove_dir_all(format!("{path}.tmp"));
+        std::fs::create_dir(format!("{path}.tmp")).unwrap();
+        let shared = script.lines().any(|l| l == "inherited");
+        let shared = shared.then(|| TcpListener::bind("127.0.0.1:0").unwrap());
+        let handed = if shared.is_some() { "3<&0 </dev/null" } else { "" };
+        let program = env!("CARGO_BIN_EXE_birchreach-proxy");
+        let shell = format!("ulimit -n {descriptors}; exec '{program}' {handed}");
+        let (process, listen, started) = Process::start(&shell, &path, shared.as_ref());
         let names = LISTENERS.map(|l| (l.to_string(), plain(&address(l)))).into_iter().collect();
         let (open, config) = (HashMap::new(), (path, config));
         Player {
-            program,
-            log,
+            processes: vec![process],
+            shell,
+            shared,
             proxy: listen,
             listeners,
             open,
@@ -89,10 +115,11 @@
         }
     }
 
-    /// `c` and a number: a client, which connects. `p.2`: the second connection that `p` accepts.
+    /// `c` and a number: a client, which connects; `o` and a number: an operator. `p.2`: the second connection that `p` accepts.
     fn party(&mut self, name: &str) -> &mut TcpStream {
         if !self.open.contains_key(name) {
             let stream = match name.split_once('.') {
+                None if name.starts_with('o') => TcpStream::connect(self.processes[0].door).unwrap(),
                 None => TcpStream::connect(self.proxy).unwrap(),
                 Some((listener, _)) => accept(&self.listeners[listener]),
             };
@@ -107,7 +134,13 @@
         let (party, rest) = line.split_once(' ').unwrap_or((line, ""));
         let (deed, rest) = rest.split_once(' ').unwrap_or((rest, ""));
         match (party, deed) {
-            ("config" | "descriptors", _) => {}
+            ("config" | "descriptors" | "inherited", _) => {}
+            ("beside", _) => {
+                let (process, ..) = Process::start(&self.shell, &self.config.0, self.shared.as_ref());
+                self.processes.insert(0, process);
+            }
+            ("swap", _) => self.processes.swap(0, 1),
+            ("killed", _) => drop(self.processes.remove(0)),
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
             ("reload", _) => {
                 let (path, text) = &self.config;
@@ -117,8 +150,7 @@
                     |text: &str| text.replace("$agent", &address("agent")).replace("$q", &address("q"));
                 assert!(text.contains(&named(old)), "{line}");
                 std::fs::write(path, text.replacen(&named(old), &named(new), 1)).unwrap();
-                let pid = self.program.id().to_string();
-                assert!(Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+                self.signal("HUP");
             }
             ("define", name) => {
                 let bytes = self.bytes(rest);
@@ -127,18 +159,15 @@
             ("log", _) => {
                 let wanted = line.strip_prefix("log ").unwrap();
                 while !self.log_seen.contains(wanted) {
-                    let next = self.log.recv_timeout(PATIENCE);
+                    let next = self.processes[0].log.recv_timeout(PATIENCE);
                     self.log_seen = next.unwrap_or_else(|_| panic!("no such line in the log"));
                 }
             }
-            ("signal", name) => {
-                let pid = self.program.id().to_string();
-                assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
-            }
+            ("signal", name) => self.signal(name),
             ("exit", code) => {
                 let start = Instant::now();
                 let status = loop {
-                    if let Some(status) = self.program.try_wait().unwrap() {
+                    if let Some(status) = self.processes[0].program.try_wait().unwrap() {
                         break status;
                     }
                     assert!(start.elapsed() < PATIENCE, "it goes on");
@@ -184,6 +213,11 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let pid = self.processes[0].program.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
     fn bytes(&self, text: &str) -> Bytes {
         let mut rest = text.trim();
         let mut open: Vec<(usize, bool)> = Vec::new();
@@ -272,6 +306,7 @@
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report rude unfinished
+    operator upgrade
 }
 
 /// Starts the program on a configuration, which it is to refuse.
@@ -294,7 +329,7 @@
         (None, "RELAY_CONFIG"),
         (Some("{".to_string()), "not JSON"),
         (Some(whole.replace("\"listen\"", "\"listens\"")), "listen"),
-        (Some(whole.replace("127.0.0.1:0", "here")), "listen"),
+        (Some(whole.replace("\"listen\": \"127.0.0.1:0\"", "\"listen\": \"here\"")), "listen"),
         (Some(whole.replace("\"settings\"", "\"set\"")), "settings"),
         (Some(whole.replace("\"cold_ms\"", "\"warm_ms\"")), "obligations.cold_ms"),
         (Some(whole.replace("\"rev\"", "\"ref\"")), "rev"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -317,6 +317,11 @@
         self.servers.contains_key(&id)
     }
 
+    /// Nothing new goes to it, but for a trial: it drains or is gone, or is suspect.
+    pub fn avoids(&self, id: ServerId) -> bool {
+        self.servers.get(&id).is_none_or(|s| !s.open || s.suspect)
+    }
+
     /// Spread out, so that routers that failed together do not ask together again.
     fn list_failed(&mut self) {
         let wait = ASK_AGAIN / 4 + self.rng.i64(0..ASK_AGAIN);
