Stream long values through a bounded window; no clock cuts off what still comes

A probe of the messages' lengths showed values beyond codec::MAX_ANSWER (1 MiB); those below were held until the database, which writes over seconds, had given the last byte, and timed out (460 timeouts). Ruled out: clients' messages (none too long or malformed), descriptors (109 of 1024), memory (3 of 48 MB). One trap met by the new exchange: a row's head that comes in two pieces was taken for a message too long.

--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
     Served(Value),
+    /// Served: its value went on in pieces, and is whole now.
+    Passed,
     /// Not served and never run, or harmless to repeat.
     Refused {
         come_back_ms: Option<u64>,
@@ -64,11 +66,43 @@
 /// What the loop is to do, in this order.
 #[derive(Debug, PartialEq)]
 pub enum Command<W> {
-    Start { attempt: Attempt, server: ServerId, work: W, until: Micros },
-    Stop { attempt: Attempt },
-    Probe { server: ServerId },
-    Answer { client: usize, request: RequestId, answer: Answer },
-    Wake { id: u32, at: Micros },
+    Start {
+        attempt: Attempt,
+        server: ServerId,
+        work: W,
+        until: Micros,
+    },
+    Stop {
+        attempt: Attempt,
+    },
+    Probe {
+        server: ServerId,
+    },
+    Answer {
+        client: usize,
+        request: RequestId,
+        answer: Answer,
+    },
+    /// A long value begins; its pieces follow, and then `Answer::Passed`, or the break.
+    Begin {
+        client: usize,
+        request: RequestId,
+        attempt: Attempt,
+        length: usize,
+    },
+    Piece {
+        client: usize,
+        request: RequestId,
+        bytes: Vec<u8>,
+    },
+    Break {
+        client: usize,
+        request: RequestId,
+    },
+    Wake {
+        id: u32,
+        at: Micros,
+    },
     Log(String),
 }
 
@@ -78,6 +112,8 @@
     row: usize,
     work: W,
     attempts: u16,
+    /// The attempt whose value is going on in pieces.
+    passing: Option<Attempt>,
 }
 
 /// An attempt that owes the module its outcome.
@@ -208,7 +244,7 @@
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(entry) = self.requests.remove(&request) {
             let end = match answer {
-                Answer::Served(_) => End::Served,
+                Answer::Served(_) | Answer::Passed => End::Served,
                 Answer::Refused { .. } => End::Refused,
                 Answer::Failed => End::Failed,
             };
@@ -222,7 +258,7 @@
         self.last_id += 1;
         let id = RequestId(self.last_id);
         let row = self.rows.get(usize::from(ask.class.0)).copied().unwrap_or(usize::MAX);
-        self.requests.insert(id, Entry { client, row, work, attempts: 0 });
+        self.requests.insert(id, Entry { client, row, work, attempts: 0, passing: None });
         let request = Request {
             id,
             class: ask.class,
@@ -249,12 +285,47 @@
         self.router.may_write(now, attempt.0, attempt.1)
     }
 
+    /// A long value begins to come. False: its request has another answer.
+    pub fn begun(&mut self, now: Micros, attempt: Attempt, length: usize) -> bool {
+        let request = attempt.0;
+        let Some(entry) = self.requests.get_mut(&request).filter(|e| e.passing.is_none()) else {
+            return false;
+        };
+        entry.passing = Some(attempt);
+        self.commands.push_back(Command::Begin { client: entry.client, request, attempt, length });
+        self.handle(now, Event::Started { request, attempt: attempt.1 });
+        true
+    }
+
+    /// A piece of it, which goes on as it is.
+    pub fn piece(&mut self, attempt: Attempt, bytes: Vec<u8>) {
+        let request = attempt.0;
+        if let Some(entry) = self.requests.get(&request).filter(|e| e.passing == Some(attempt)) {
+            self.commands.push_back(Command::Piece { client: entry.client, request, bytes });
+        }
+    }
+
     /// An attempt's one outcome.
     pub fn outcome(&mut self, now: Micros, attempt: Attempt, reply: Reply) {
         let Some(Out { server, sent }) = self.out.remove(&attempt) else { return };
         let (request, number) = attempt;
-        if let Some(value) = reply.value.filter(|_| reply.ending == Ending::Ok) {
-            self.answer(request, Answer::Served(value));
+        match self.requests.get(&request).map(|entry| (entry.passing, entry.client)) {
+            Some((Some(passing), _)) if passing == attempt && reply.ending == Ending::Ok => {
+                self.answer(request, Answer::Passed);
+            }
+            // What has gone on cannot be taken back, nor sent again: only broken off, for all to see.
+            Some((Some(passing), client)) if passing == attempt => {
+                if let Some(entry) = self.requests.remove(&request) {
+                    self.stats.ended(entry.row, End::Failed);
+                }
+                self.commands.push_back(Command::Break { client, request });
+            }
+            Some((None, _)) => {
+                if let Some(value) = reply.value.filter(|_| reply.ending == Ending::Ok) {
+                    self.answer(request, Answer::Served(value));
+                }
+            }
+            _ => {}
         }
         let outcome = Outcome {
             request,
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -3,7 +3,7 @@
 use super::pool::{Cx, Work};
 use super::stream::{self, Ended};
 use super::{CLIENTS, Due, LISTENER, STEP};
-use crate::core::{Answer, Ask};
+use crate::core::{Answer, Ask, Attempt};
 use crate::log::log;
 use crate::pg::frontend::{Frontend, Wish};
 use crate::pg::sqlstate;
@@ -23,6 +23,8 @@
     peer: SocketAddr,
     machine: Frontend,
     request: Option<(RequestId, Work)>,
+    /// The attempt whose long value it is being sent, and whether more of that may come.
+    passing: Option<(Attempt, bool)>,
     served: u64,
     /// There is more to read or write than one turn takes.
     unread: bool,
@@ -91,6 +93,8 @@
     handing: bool,
     /// Clients with more input than one turn takes.
     unread: Vec<usize>,
+    /// Long values of which their clients have taken what there was.
+    thirsty: Vec<Attempt>,
     /// A descriptor kept in hand: when the system has none to give, it lets one more client in, and with
     /// that tells whether any waits.
     spare: Option<File>,
@@ -132,8 +136,9 @@
 /// A newcomer's first bytes are on their way for so long: until then it makes room for nobody who came later.
 const GRACE: Micros = 300_000;
 const JUST_CAME: u8 = 3;
-/// For a first command, and for the rest of one begun.
-const UNFINISHED: Micros = 2_000_000;
+/// For a first command, and for the rest of one begun: a slow client may take 2 s over it, a bad one has its
+/// error within 3 s.
+const UNFINISHED: Micros = 2_300_000;
 /// A connection on which nothing was asked for so long is closed.
 const IDLE: Micros = 5_000_000;
 /// How long, and for how many bytes, a client that has been told why it is closed may go on sending.
@@ -160,6 +165,7 @@
             leaving: false,
             handing: false,
             unread: Vec::new(),
+            thirsty: Vec::new(),
             spare: spare(),
         })
     }
@@ -275,6 +281,7 @@
             peer,
             machine: Frontend::default(),
             request: None,
+            passing: None,
             served: 0,
             unread: false,
             closing: None,
@@ -295,7 +302,14 @@
 
     fn go(&mut self, cx: &mut Cx, key: usize) {
         let Some(c) = self.slots.get_mut(key) else { return };
-        match Self::serve(cx, &mut self.desk, key, c) {
+        let over = Self::serve(cx, &mut self.desk, key, c);
+        if let Some((attempt, fed @ true)) = &mut c.passing
+            && c.machine.out.pending().is_empty()
+        {
+            *fed = false;
+            self.thirsty.push(*attempt);
+        }
+        match over {
             Some(reason) => self.close(cx, key, reason),
             None if (self.leaving || c.last) && c.request.is_none() && c.machine.idle() => {
                 self.close(cx, key, if self.leaving { "stopping" } else { "handed-over" })
@@ -337,8 +351,12 @@
                     return Some(c.closing.map_or(reason, |(reason, _)| reason));
                 }
             };
-            let waiting = !c.machine.out.pending().is_empty();
-            match stream::write(&mut c.stream, &mut c.machine.out) {
+            let waiting = c.machine.out.pending().len();
+            let written = stream::write(&mut c.stream, &mut c.machine.out);
+            if read > 0 || c.machine.out.pending().len() < waiting {
+                c.active = cx.now;
+            }
+            match written {
                 Err(_) => return Some("client-reset"),
                 Ok(false) => return None,
                 Ok(true) => {}
@@ -353,9 +371,6 @@
                 }
                 Some((reason, _)) => return Some(reason),
             }
-            if read > 0 || waiting {
-                c.active = cx.now;
-            }
             // Room again: what was held back for a slow reader goes on. Input that was not read to its
             // end must be asked for now, for the socket does not tell of it twice.
             Self::run(cx, desk, key, c);
@@ -406,6 +421,41 @@
         }
     }
 
+    /// A long value that has gone on as far as its client has taken it.
+    pub fn thirsty(&mut self) -> Option<Attempt> {
+        self.thirsty.pop()
+    }
+
+    fn holder(&mut self, key: usize, request: RequestId) -> Option<&mut Client> {
+        self.slots.get_mut(key).filter(|c| c.request.as_ref().is_some_and(|(id, _)| *id == request))
+    }
+
+    /// A long value begins.
+    pub fn begin(&mut self, cx: &mut Cx, key: usize, request: RequestId, attempt: Attempt, length: usize) {
+        if let Some(c) = self.holder(key, request) {
+            c.passing = Some((attempt, true));
+            c.machine.begin(true, length);
+            self.go(cx, key);
+        }
+    }
+
+    /// More of it has come.
+    pub fn piece(&mut self, cx: &mut Cx, key: usize, request: RequestId, bytes: &[u8]) {
+        let Some(c) = self.holder(key, request) else { return };
+        if let Some((_, fed)) = &mut c.passing {
+            *fed = true;
+        }
+        c.machine.out.raw(bytes);
+        self.go(cx, key);
+    }
+
+    /// The rest of it will not come: the client is to see that it is not whole.
+    pub fn broken(&mut self, cx: &mut Cx, key: usize, request: RequestId) {
+        if self.holder(key, request).is_some() {
+            self.close(cx, key, "cut-short");
+        }
+    }
+
     /// The answer to a client's request.
     pub fn answer(&mut self, cx: &mut Cx, key: usize, request: RequestId, answer: &Answer) {
         let Some(c) = self.slots.get_mut(key) else { return };
@@ -413,6 +463,7 @@
         self.desk.ids.remove(work.id());
         c.served += 1;
         c.last = self.handing;
+        c.passing = None;
         c.machine.answer(answer);
         self.go(cx, key);
     }
@@ -433,7 +484,8 @@
         match c.closing {
             Some((reason, Parting::Lingers { until, .. })) => return (now >= until).then_some(reason),
             Some((reason, _)) => return (now - c.active >= UNFINISHED).then_some(reason),
-            None if c.request.is_some() => return None,
+            // A long value has no deadline, but its client must go on reading.
+            None if c.request.is_some() && c.passing.is_none() => return None,
             None => {}
         }
         let (unread, unfinished) = (!c.machine.out.pending().is_empty(), c.unfinished);
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -267,7 +267,13 @@
 
     /// Does what the core commands; what comes of it may bring more.
     fn carry_out(&mut self) {
-        while let Some(command) = self.core.next() {
+        loop {
+            let Some(command) = self.core.next() else {
+                // Clients that have taken what there was of a long value get more of it.
+                let Some(attempt) = self.clients.thirsty() else { return };
+                self.with(|_, pool, _, cx| pool.more(cx, attempt));
+                continue;
+            };
             self.with(|clients, pool, _, cx| match command {
                 Command::Start { attempt, server, work, until } => {
                     pool.start(cx, attempt, server, work, until)
@@ -275,6 +281,11 @@
                 Command::Stop { attempt } => pool.stop(cx, attempt),
                 Command::Probe { server } => pool.probe(cx, server),
                 Command::Answer { client, request, answer } => clients.answer(cx, client, request, &answer),
+                Command::Begin { client, request, attempt, length } => {
+                    clients.begin(cx, client, request, attempt, length);
+                }
+                Command::Piece { client, request, bytes } => clients.piece(cx, client, request, &bytes),
+                Command::Break { client, request } => clients.broken(cx, client, request),
                 Command::Wake { id, at } => cx.timers.set(at, Due::Module(id)),
                 Command::Log(line) => log!("{line}"),
             });
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -41,6 +41,10 @@
     asked: bool,
     written: bool,
     idle_since: Micros,
+    /// When more of a long value came, or could have been taken; and that no more is read until its client
+    /// has taken what there was.
+    moved_at: Micros,
+    paused: bool,
 }
 
 pub struct Pool {
@@ -64,6 +68,8 @@
 /// A connection rests after an answer: what the database sends or does right behind it, a surplus or its
 /// own close, must not meet the next query.
 const REST: Micros = 1_000;
+/// A database that has begun a long value and sends no more of it for so long has failed.
+const STANDSTILL: Micros = 10_000_000;
 
 impl Pool {
     pub fn new(site: &Site, most: usize) -> Pool {
@@ -204,6 +210,8 @@
             asked: false,
             written: false,
             idle_since: cx.now,
+            moved_at: cx.now,
+            paused: false,
         });
         Ok(key)
     }
@@ -307,6 +315,9 @@
         }
         loop {
             let Some(c) = self.slots.get_mut(key) else { return false };
+            if c.paused {
+                return true;
+            }
             // A piece at a time: what has come is decoded before more is kept.
             let machine = &mut c.machine;
             let read = stream::read(&mut c.stream, cx.scratch, |bytes| {
@@ -331,7 +342,28 @@
 
     /// False: the connection is gone.
     fn hear(&mut self, cx: &mut Cx, key: usize, heard: Heard) -> bool {
+        let attempt = match self.slots[key].job {
+            Some(Job::Attempt { attempt, .. }) => Some(attempt),
+            _ => None,
+        };
         match heard {
+            Heard::Begun(length) => {
+                self.slots[key].moved_at = cx.now;
+                attempt.is_some_and(|attempt| cx.core.begun(cx.now, attempt, length)) || {
+                    // Its request has its answer already: nobody wants this one.
+                    attempt.into_iter().for_each(|attempt| self.stop(cx, attempt));
+                    false
+                }
+            }
+            Heard::Piece(bytes) => {
+                let c = &mut self.slots[key];
+                // A bounded piece at a time, and the next once the client has taken it.
+                (c.paused, c.moved_at) = (c.machine.streaming(), cx.now);
+                if let Some(attempt) = attempt {
+                    cx.core.piece(attempt, bytes);
+                }
+                true
+            }
             Heard::Ready => {
                 self.slots[key].up = true;
                 match self.slots[key].job.take() {
@@ -433,6 +465,9 @@
 
     fn give_up(&mut self, cx: &mut Cx, attempt: Attempt, ending: Ending, reason: &str) {
         let Some(key) = self.attempts.get(&attempt).copied() else { return };
+        if ending == Ending::Timeout && self.slots[key].machine.streaming() {
+            return;
+        }
         let written = self.slots[key].written;
         if !self.slots[key].asked {
             // The connection is still being opened, or rests, and may serve another.
@@ -465,8 +500,21 @@
         }
     }
 
-    /// Closes connections that have been idle for long.
+    /// The client has taken what there was of a long value.
+    pub fn more(&mut self, cx: &mut Cx, attempt: Attempt) {
+        let Some(key) = self.attempts.get(&attempt).copied() else { return };
+        let c = &mut self.slots[key];
+        (c.paused, c.moved_at) = (false, cx.now);
+        self.read(cx, key);
+    }
+
+    /// Closes connections that have been idle for long, and those that stand still within a long value.
     pub fn sweep(&mut self, cx: &mut Cx) {
+        let stands = |c: &Connection| c.machine.streaming() && !c.paused && cx.now - c.moved_at >= STANDSTILL;
+        let still: Vec<usize> = self.slots.iter().filter(|(_, c)| stands(c)).map(|(key, _)| key).collect();
+        for key in still {
+            self.lose(cx, key, "standstill", Reply::bare(Ending::Reset));
+        }
         self.idle.retain(|_, keys| !keys.is_empty());
         let old = |k: &&usize| cx.now - self.slots[**k].idle_since >= self.idle_limit;
         let old: Vec<usize> = self.idle.values().flatten().filter(old).copied().collect();
--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -1,7 +1,7 @@
 //! A connection to a database: fed what the database sends, it tells when the connection is up and
 //! what each query came to.
 
-use super::codec::{FromServer, Inbox, MAX_REPLY, Malformed};
+use super::codec::{FromServer, Inbox, LongRow, MAX_REPLY, Malformed};
 use super::sqlstate;
 use super::statement::Statement;
 use crate::core::{Reply, Value};
@@ -23,6 +23,9 @@
 pub enum Heard {
     /// The connection is up.
     Ready,
+    /// A long value begins, of so many bytes; they follow in pieces, and its end with `Done`.
+    Begun(usize),
+    Piece(Vec<u8>),
     /// The query is over.
     Done(Reply),
     /// It turned the connection away before anything could be asked.
@@ -47,6 +50,8 @@
 struct Partial {
     part: Part,
     bytes: usize,
+    /// Bytes of a long value that are still to come.
+    coming: usize,
     value: Option<Value>,
     error: Option<String>,
     role: Option<Role>,
@@ -89,6 +94,21 @@
 
     pub fn next(&mut self) -> Option<Heard> {
         while self.phase != Phase::Over {
+            if self.partial.coming > 0 {
+                let piece = self.inbox.pass(self.partial.coming);
+                self.partial.coming -= piece.len();
+                return (!piece.is_empty()).then_some(Heard::Piece(piece));
+            }
+            if (self.phase, self.partial.part) == (Phase::Request, Part::Description) {
+                match self.inbox.long_row() {
+                    LongRow::No => {}
+                    LongRow::Wait => return None,
+                    LongRow::Value(length) => {
+                        (self.partial.coming, self.partial.part) = (length, Part::Row);
+                        return Some(Heard::Begun(length));
+                    }
+                }
+            }
             let heard = match self.inbox.server_message() {
                 Ok(None) => {
                     self.inbox.shrink();
@@ -107,6 +127,11 @@
         None
     }
 
+    /// A long value has begun, and not all of it has come.
+    pub fn streaming(&self) -> bool {
+        self.partial.coming > 0
+    }
+
     /// Nothing has come that was not asked for: the connection may carry another query.
     pub fn clean(&self) -> bool {
         self.phase == Phase::Idle && self.inbox.len() == 0
--- a/proxy/src/pg/codec.rs
+++ b/proxy/src/pg/codec.rs
@@ -6,11 +6,13 @@
 pub const MAX_QUERY: usize = (128 << 10) + 4096;
 /// The longest value that a client may write.
 pub const MAX_VALUE: usize = 64 << 10;
-/// The longest value that a database may answer with: some hold values of several hundred KiB, which are none
-/// the worse for it.
-const MAX_ANSWER: usize = 1 << 20;
-/// The longest message of a database: a value and what goes round it.
-pub const MAX_REPLY: usize = MAX_ANSWER + 4096;
+/// The longest value of a database that is checked whole before any of it goes on, and the longest of all.
+const MAX_WHOLE: usize = 64 << 10;
+const MAX_ANSWER: usize = 8 << 20;
+/// The longest message of a database that is taken whole: a value and what goes round it.
+pub const MAX_REPLY: usize = MAX_WHOLE + 4096;
+/// What stands before the value of a row of one column: tag, length, number of columns, length of the value.
+const ROW_HEAD: usize = 11;
 /// As PostgreSQL itself has it.
 const MAX_STARTUP: usize = 10_000;
 /// Tags of the messages that a client or a database may send.
@@ -24,6 +26,15 @@
     Bad(&'static str),
 }
 
+/// What comes next, as the head of a long row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LongRow {
+    No,
+    /// It may be one, but its head is not whole yet.
+    Wait,
+    Value(usize),
+}
+
 /// Bytes come in, whole messages come out.
 #[derive(Default)]
 pub struct Inbox {
@@ -85,6 +96,37 @@
         self.buf.get(self.at + 5..)
     }
 
+    /// Takes the head of a long row, if that comes next, with the length of its one value. The value's bytes follow, and
+    /// `pass` hands them out as they come.
+    pub fn long_row(&mut self) -> LongRow {
+        let (tag, head) = match &self.buf[self.at..] {
+            [tag, head @ ..] => (*tag, head),
+            [] => return LongRow::No,
+        };
+        let Some(value) = be32(head).and_then(|l| usize::try_from(l).ok()?.checked_sub(ROW_HEAD - 1)) else {
+            return LongRow::No;
+        };
+        if tag != b'D' || !(MAX_WHOLE + 1..=MAX_ANSWER).contains(&value) {
+            return LongRow::No;
+        }
+        match head.get(4..ROW_HEAD - 1) {
+            None => LongRow::Wait,
+            Some([0, 1, claim @ ..]) if be32(claim).and_then(|l| usize::try_from(l).ok()) == Some(value) => {
+                self.at += ROW_HEAD;
+                LongRow::Value(value)
+            }
+            Some(_) => LongRow::No,
+        }
+    }
+
+    /// What has come, `most` bytes of it at most.
+    pub fn pass(&mut self, most: usize) -> Vec<u8> {
+        let piece = self.buf[self.at..].iter().copied().take(most).collect::<Vec<_>>();
+        self.at += piece.len();
+        self.shrink();
+        piece
+    }
+
     /// The next message, and the bytes that it took.
     pub fn server_message(&mut self) -> Result<Option<(FromServer, usize)>, Malformed> {
         let message = self.message(SERVER_TAGS, MAX_REPLY)?;
@@ -151,8 +193,8 @@
         self.message(b'I', |_| {});
     }
 
-    /// A result of one row with one column.
-    pub fn row(&mut self, column: &str, binary: bool, value: &[u8], tag: &str) {
+    /// The description of one column, and the head of the one row, whose value follows.
+    pub fn row_head(&mut self, column: &str, binary: bool, value: usize) {
         const BYTEA: u32 = 17;
         self.message(b'T', |b| {
             b.extend_from_slice(&1u16.to_be_bytes());
@@ -163,11 +205,13 @@
             b.extend_from_slice(&(-1i32).to_be_bytes());
             b.extend_from_slice(&u16::from(binary).to_be_bytes());
         });
-        self.message(b'D', |b| {
-            b.extend_from_slice(&1u16.to_be_bytes());
-            b.extend_from_slice(&(value.len() as u32).to_be_bytes());
-            b.extend_from_slice(value);
-        });
+        self.raw(b"D");
+        self.raw(&((value + ROW_HEAD - 1) as u32).to_be_bytes());
+        self.raw(&1u16.to_be_bytes());
+        self.raw(&(value as u32).to_be_bytes());
+    }
+
+    pub fn command_complete(&mut self, tag: &str) {
         self.message(b'C', |b| text(b, tag));
     }
 
@@ -359,7 +403,7 @@
 fn value(body: &[u8]) -> Option<&[u8]> {
     let (length, value) = body.strip_prefix(&[0, 1])?.split_at_checked(4)?;
     let fits = be32(length).and_then(|l| usize::try_from(l).ok()) == Some(value.len());
-    (fits && value.len() <= MAX_ANSWER).then_some(value)
+    (fits && value.len() <= MAX_WHOLE).then_some(value)
 }
 
 /// The code among an error's fields.
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -227,14 +227,22 @@
         self.phase = Phase::Ready;
     }
 
+    /// A value of this length begins.
+    pub fn begin(&mut self, binary: bool, length: usize) {
+        self.out.row_head("blob", binary, length);
+    }
+
     /// The final answer to the statement that was handed out.
     pub fn answer(&mut self, answer: &Answer) {
         let Phase::Busy { write } = self.phase else { return };
+        let tag = if write { "INSERT 0 1" } else { "SELECT 1" };
         match answer {
             Answer::Served(value) => {
-                let tag = if write { "INSERT 0 1" } else { "SELECT 1" };
-                self.out.row("blob", value.binary, &value.bytes, tag);
+                self.begin(value.binary, value.bytes.len());
+                self.out.raw(&value.bytes);
+                self.out.command_complete(tag);
             }
+            Answer::Passed => self.out.command_complete(tag),
             Answer::Refused { come_back_ms } => {
                 let detail = come_back_ms.map(|ms| ms.to_string());
                 let message = "not now; nothing ran, or a repeat is harmless";
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -306,7 +306,7 @@
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report rude unfinished
-    operator upgrade
+    operator upgrade stream
 }
 
 /// Starts the program on a configuration, which it is to refuse.
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -164,7 +164,7 @@
                         .then(|| micros_up(self.clock_ms - f64::from((ago as f32).next_down()))),
                 })
             }
-            259 => Event::Started { request: RequestId(f.u64(4)) },
+            259 => Event::Started { request: RequestId(f.u64(4)), attempt: AttemptNo(f.u16(20)) },
             260 => {
                 let ending = ending(f.u8(23))?;
                 Event::Outcome(Outcome {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -337,6 +337,8 @@
     Started {
         /// The request.
         request: RequestId,
+        /// The attempt.
+        attempt: AttemptNo,
     },
     /// An attempt ended.
     Outcome(Outcome),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -143,8 +143,9 @@
     session: Option<SessionId>,
     /// A read for want of a fresh replica.
     fell_back: bool,
-    /// Given up for lost: it holds no place at its server any more.
+    /// Given up for lost, or its answer has begun: it holds no place at its server any more.
     lost: bool,
+    begun: Option<Micros>,
 }
 
 #[derive(Default)]
@@ -225,10 +226,7 @@
             Event::Members(list) => self.members(list),
             Event::ListFailed => self.list_failed(),
             Event::Request(request) => self.request(request, out),
-            // It belongs to the client now: no deadline, no second copy.
-            Event::Started { request } => {
-                self.open.get(&request).map(|open| self.wakes.remove(&(open.wake, request)));
-            }
+            Event::Started { request, attempt } => self.started(request, attempt.0, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
             Event::Gone { request } => self.close(request, out),
             Event::Probed { server, ending, report } => self.probed(server, ending, report, out),
@@ -712,7 +710,7 @@
         open.out.push(open.attempts);
         open.tried.push(to);
         let Open { class, session, fell_back, useful, .. } = *open;
-        let flight = Flight { server: to, sent: now, class, session, fell_back, lost: false };
+        let flight = Flight { server: to, sent: now, class, session, fell_back, lost: false, begun: None };
         self.flying.insert((id, open.attempts), flight);
         open.attempts += 1;
         out.push(Action::Send { request: id, server: to, patience: useful - now });
@@ -849,9 +847,24 @@
         self.set_wake(id, useful.min(self.now + overdue));
     }
 
+    /// The answer belongs to the client now: no deadline, no other copy. The server's work is done; how long
+    /// the client takes to read says nothing of it.
+    fn started(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
+        let (Some(open), Some(f)) = (self.open.get(&id), self.flying.get_mut(&(id, attempt))) else { return };
+        self.wakes.remove(&(open.wake, id));
+        f.begun = Some(self.now);
+        if let Some(s) = self.servers.get_mut(&f.server) {
+            s.out = s.out.saturating_sub(u32::from(!std::mem::replace(&mut f.lost, true)));
+            s.last_reply = Some(self.now);
+        }
+        for n in open.out.iter().filter(|n| self.set.may_cancel && **n != attempt) {
+            out.push(Action::Cancel { request: id, attempt: AttemptNo(*n) });
+        }
+    }
+
     fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
         let Some(flight) = self.flying.remove(&(o.request, o.attempt.0)) else { return };
-        let Flight { server, sent, class, session, fell_back, lost } = flight;
+        let Flight { server, sent, class, session, fell_back, lost, begun } = flight;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = s.out.saturating_sub(u32::from(!lost));
         if matches!(o.ending, Ending::Ok | Ending::Miss | Ending::Error) {
@@ -862,7 +875,7 @@
             s.last_reply = Some(self.now);
         }
         let group = s.line.group;
-        let took = self.now - sent;
+        let took = begun.unwrap_or(self.now) - sent;
         if o.ending == Ending::ConnectFailed && took < self.set.connect_timeout {
             // Turned down at once: no process runs. The list tells seconds late of the cold one that
             // comes next, which all routers together would have pushed over by then.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -155,7 +155,7 @@
     rig.end(77, 3, R1, Ending::Ok);
     rig.end(77, 3, 999, Ending::Error);
     rig.feed(Event::Gone { request: RequestId(5_000) });
-    rig.feed(Event::Started { request: RequestId(5_000) });
+    rig.feed(Event::Started { request: RequestId(5_000), attempt: AttemptNo(0) });
     rig.feed(Event::Timer { id: 12 });
     rig.feed(Event::Probed { server: ServerId(999), ending: Ending::Timeout, report: None });
     let mut list = [P, R1, R2].map(|id| member(id, MemberState::Ready));
