Give each recorded exchange a loopback address of its own

Seen: 'gone' failed once in seven runs, at the log line that its connect was refused. It gives up its replica's port, and another exchange, played beside it, can be given the same one and accept there. Not the proxy's fault.

--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
@@ -73,8 +73,11 @@
 
 impl Player {
     fn start(name: &str, script: &str) -> Player {
+        // Each exchange has a loopback address of its own: a port that one gives up is not taken by another.
+        let own = name.bytes().fold(1u16, |n, b| n.wrapping_mul(31).wrapping_add(b.into())).to_be_bytes();
+        let own = IpAddr::from([127, 1 | own[0], own[1], 1]);
         let listeners: HashMap<_, _> =
-            LISTENERS.map(|l| (l, TcpListener::bind("127.0.0.1:0").unwrap())).into_iter().collect();
+            LISTENERS.map(|l| (l, TcpListener::bind((own, 0)).unwrap())).into_iter().collect();
         let address = |l: &str| listeners[l].local_addr().unwrap().to_string();
         let mut config = include_str!("exchanges/config.json").to_string();
         for l in LISTENERS {
