Take new settings at SIGHUP: classes come and go, open requests keep their rules

Seen: retune+scrape failed 39% of its requests; the log says needs-restart=settings, and the new class's requests got 22023 in Desk::ask. Config::differs left the settings to a restart. Ruled out: the two broken files were turned down as they should; discovery's address was not at fault. Also seen: skipped_databases told 2 where the bench saw 0 to 1 (11 of 31 calls): Router::avoids counted suspects that still get writes, or a trial with the next read. It counts those now that get nothing.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -26,18 +26,33 @@
     /// The list of databases as this proxy last had it.
     pub known: Option<Update>,
     pub site: Site,
+    /// The settings and limits as the file has them.
+    pub raw: Value,
 }
 
 impl Config {
-    /// What another configuration has otherwise and only a restart brings into force. `known` and `seed`
-    /// are for the start alone.
+    /// Takes another configuration in this one's place, unless it is broken in a way that a first one cannot
+    /// be told to be: what the settings in force have, it must have too.
+    pub fn succeeds(&self, new: Config) -> Result<Config, String> {
+        if let Some(path) = lacks(&self.raw, &new.raw, "") {
+            return Err(format!("{path}: absent, or not of its kind"));
+        }
+        let extra = |key: &str| new.raw.pointer(&format!("/settings/extra/{key}")).and_then(Value::as_array);
+        for key in ["class_read", "max_age_ms"] {
+            if extra(key).is_some_and(|list| list.len() != new.site.class_names.len()) {
+                return Err(format!("settings.extra.{key}: expected one for each class"));
+            }
+        }
+        Ok(new)
+    }
+
+    /// What another configuration has otherwise and only a restart brings into force. `known` and `seed` are
+    /// for the start alone.
     pub fn differs(&self, new: &Config) -> Vec<&'static str> {
         let parts = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("operator", self.operator != new.operator),
-            ("limits", self.sockets != new.sockets),
-            ("settings", self.site != new.site),
         ];
         parts.into_iter().filter_map(|(part, other)| other.then_some(part)).collect()
     }
@@ -78,6 +93,9 @@
         Some(v) => Some(Update::from_json(v).map_err(|e| format!("known: {e}"))?),
     };
     let settings = root.get("settings").ok_or("settings: absent")?;
+    let site = birchreach_settings::from_value(settings)?;
+    sound(&site)?;
+    let part = |key: &str| (key.to_string(), root.get(key).cloned().unwrap_or(Value::Null));
     Ok(Config {
         name: word("name", "RELAY_NAME").unwrap_or_else(|_| "proxy".into()),
         listen: address("listen", "RELAY_LISTEN")?,
@@ -87,10 +105,55 @@
         seed: seed(root.get("seed")),
         sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
         known,
-        site: birchreach_settings::from_value(settings)?,
+        site,
+        raw: [part("limits"), part("settings")].into_iter().collect(),
     })
 }
 
+/// What the settings' form cannot tell: with these, no request could be served.
+fn sound(site: &Site) -> Result<(), String> {
+    let names = &site.class_names;
+    if names.is_empty() {
+        return Err("settings: classes: expected one at least".into());
+    }
+    for (i, (name, class)) in names.iter().zip(&site.module.classes).enumerate() {
+        if name.is_empty() || names[..i].contains(name) {
+            return Err(format!("settings: classes[{i}].name: expected a name of its own"));
+        }
+        if class.deadline <= 0 {
+            return Err(format!("settings: classes[{i}].deadline_ms: expected a positive number"));
+        }
+    }
+    if site.module.max_attempts == 0 {
+        return Err("settings: limits.attempts_cap: expected a positive number".into());
+    }
+    Ok(())
+}
+
+/// The first key of `old` that `new` lacks, or has as another kind of value. Lists may be of other lengths, but
+/// each of their objects has the keys that all in the old list have.
+fn lacks(old: &Value, new: &Value, path: &str) -> Option<String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, value)| {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            match new.get(key) {
+                None => Some(path),
+                Some(new) => lacks(value, new, &path),
+            }
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let objects: Vec<_> = old.iter().filter_map(Value::as_object).collect();
+            let (first, rest) = objects.split_first()?;
+            let common = first.iter().filter(|(key, _)| rest.iter().all(|o| o.contains_key(*key)));
+            let common: Value = common.map(|(key, value)| (key.clone(), value.clone())).collect();
+            new.iter().enumerate().find_map(|(i, new)| lacks(&common, new, &format!("{path}[{i}]")))
+        }
+        (Value::Null, _) => None,
+        _ if std::mem::discriminant(old) == std::mem::discriminant(new) => None,
+        _ => Some(path.to_string()),
+    }
+}
+
 /// Any seed will do; proxies only must not share theirs.
 fn seed(told: Option<&Value>) -> u64 {
     match told {
--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -7,7 +7,7 @@
 use crate::stats::{End, Gauges, Stats};
 use birchreach::*;
 use birchreach_settings::Site;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 /// A request as any front may bring it.
@@ -108,8 +108,7 @@
 
 struct Entry<W> {
     client: usize,
-    /// Its class's row among the figures.
-    row: usize,
+    class: ClassId,
     work: W,
     attempts: u16,
     /// The attempt whose value is going on in pieces.
@@ -119,9 +118,21 @@
 /// An attempt that owes the module its outcome.
 struct Out {
     server: ServerId,
+    class: ClassId,
     sent: Micros,
 }
 
+/// A class by its number.
+#[derive(Clone, Debug)]
+struct Kind {
+    name: String,
+    rules: Class,
+    /// Its row among the figures.
+    row: usize,
+    /// It was dropped, or replaced by another of its name: when its last requests will have come.
+    until: Option<Micros>,
+}
+
 pub struct Core<W> {
     router: Router,
     zones: Vec<String>,
@@ -133,8 +144,9 @@
     named: u32,
     last_id: u64,
     pub stats: Stats,
-    /// Each class's row there.
-    rows: Vec<usize>,
+    /// The classes by number, with those that are no more while requests of them may be open.
+    kinds: Vec<Kind>,
+    tokens: Tokens,
     actions: Vec<Action>,
     commands: VecDeque<Command<W>>,
 }
@@ -147,6 +159,8 @@
     removed: bool,
 }
 
+/// A class that was dropped is taken for so long: its last requests are on their way.
+const LAST_REQUESTS: Micros = 2_000_000;
 /// All machines read one clock, but not at the same instant.
 const SKEW: Micros = 1_000_000;
 
@@ -155,11 +169,19 @@
         let mut actions = Vec::new();
         let router = Router::new(site.module.clone(), seed, now, &mut actions);
         let mut stats = Stats::default();
-        let rows = site.class_names.iter().map(|name| stats.class(name)).collect();
+        let kinds = site.class_names.iter().zip(&site.module.classes);
+        let kinds = kinds.map(|(name, rules)| Kind {
+            name: name.clone(),
+            rules: rules.clone(),
+            row: stats.class(name),
+            until: None,
+        });
+        let kinds = kinds.collect();
         let mut core = Core {
             router,
             stats,
-            rows,
+            kinds,
+            tokens: site.module.tokens,
             zones: site.zones.clone(),
             requests: HashMap::new(),
             out: HashMap::new(),
@@ -178,14 +200,58 @@
         self.commands.pop_front()
     }
 
+    /// Other settings are in force from now on. A number stands for one class and its rules for as long as
+    /// anything of it is open; a class that is new, or has other rules, gets one that is free.
+    pub fn settings(&mut self, now: Micros, site: &Site) {
+        let mut used: HashSet<ClassId> = self.requests.values().map(|e| e.class).collect();
+        used.extend(self.out.values().map(|o| o.class));
+        for kind in &mut self.kinds {
+            let same = |(name, rules): (&String, &Class)| *name == kind.name && *rules == kind.rules;
+            let stays = site.class_names.iter().zip(&site.module.classes).any(same);
+            kind.until = if stays { None } else { kind.until.or(Some(now + LAST_REQUESTS)) };
+        }
+        for (name, rules) in site.class_names.iter().zip(&site.module.classes) {
+            if self.kinds.iter().any(|k| k.until.is_none() && k.name == *name) {
+                continue;
+            }
+            let row = self.stats.class(name);
+            let kind = Kind { name: name.clone(), rules: rules.clone(), row, until: None };
+            let free = |(i, k): (usize, &Kind)| {
+                k.until.is_some_and(|at| at <= now) && !used.iter().any(|id| usize::from(id.0) == i)
+            };
+            match self.kinds.iter().enumerate().position(free) {
+                Some(i) => self.kinds[i] = kind,
+                None => self.kinds.push(kind),
+            }
+        }
+        self.zones.clone_from(&site.zones);
+        self.tokens = site.module.tokens;
+        let classes = self.kinds.iter().map(|k| k.rules.clone()).collect();
+        let settings = Settings { classes, ..site.module.clone() };
+        self.handle(now, Event::Settings(Box::new(settings)));
+    }
+
+    /// The number and the rules of a class by its name, while requests of it are taken: dropped classes end a little later.
+    pub fn class(&self, now: Micros, name: &str) -> Option<(ClassId, &Class)> {
+        let live = |k: &&Kind| k.name == name && k.until.is_none_or(|at| now < at);
+        let (i, kind) =
+            self.kinds.iter().enumerate().filter(|(_, k)| live(k)).min_by_key(|(_, k)| k.until)?;
+        Some((ClassId(u16::try_from(i).ok()?), &kind.rules))
+    }
+
+    /// Where session reads' requirements come from.
+    pub fn tokens(&self) -> Tokens {
+        self.tokens
+    }
+
     pub fn open_requests(&self) -> usize {
         self.requests.len()
     }
 
     /// What is so just now.
-    pub fn gauges(&self) -> Gauges {
+    pub fn gauges(&self, now: Micros) -> Gauges {
         let listed = self.servers.iter().filter(|(_, s)| !s.removed);
-        let skipped = listed.clone().filter(|(id, _)| self.router.avoids(**id)).count();
+        let skipped = listed.clone().filter(|(id, _)| self.router.avoids(now, **id)).count();
         Gauges { in_progress: self.requests.len(), known: listed.count(), skipped }
     }
 
@@ -215,7 +281,7 @@
                     let Some(entry) = self.requests.get_mut(&request) else { continue };
                     let attempt = (request, AttemptNo(entry.attempts));
                     entry.attempts += 1;
-                    self.out.insert(attempt, Out { server, sent: now });
+                    self.out.insert(attempt, Out { server, class: entry.class, sent: now });
                     let (work, until) = (entry.work.clone(), now + patience);
                     self.commands.push_back(Command::Start { attempt, server, work, until });
                 }
@@ -241,6 +307,12 @@
         }
     }
 
+    fn ended(&mut self, class: ClassId, end: End) {
+        if let Some(kind) = self.kinds.get(usize::from(class.0)) {
+            self.stats.ended(kind.row, end);
+        }
+    }
+
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(entry) = self.requests.remove(&request) {
             let end = match answer {
@@ -248,7 +320,7 @@
                 Answer::Refused { .. } => End::Refused,
                 Answer::Failed => End::Failed,
             };
-            self.stats.ended(entry.row, end);
+            self.ended(entry.class, end);
             self.commands.push_back(Command::Answer { client: entry.client, request, answer });
         }
     }
@@ -257,8 +329,7 @@
     pub fn request(&mut self, now: Micros, client: usize, ask: Ask, work: W) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        let row = self.rows.get(usize::from(ask.class.0)).copied().unwrap_or(usize::MAX);
-        self.requests.insert(id, Entry { client, row, work, attempts: 0, passing: None });
+        self.requests.insert(id, Entry { client, class: ask.class, work, attempts: 0, passing: None });
         let request = Request {
             id,
             class: ask.class,
@@ -307,7 +378,7 @@
 
     /// An attempt's one outcome.
     pub fn outcome(&mut self, now: Micros, attempt: Attempt, reply: Reply) {
-        let Some(Out { server, sent }) = self.out.remove(&attempt) else { return };
+        let Some(Out { server, sent, .. }) = self.out.remove(&attempt) else { return };
         let (request, number) = attempt;
         match self.requests.get(&request).map(|entry| (entry.passing, entry.client)) {
             Some((Some(passing), _)) if passing == attempt && reply.ending == Ending::Ok => {
@@ -316,7 +387,7 @@
             // What has gone on cannot be taken back, nor sent again: only broken off, for all to see.
             Some((Some(passing), client)) if passing == attempt => {
                 if let Some(entry) = self.requests.remove(&request) {
-                    self.stats.ended(entry.row, End::Failed);
+                    self.ended(entry.class, End::Failed);
                 }
                 self.commands.push_back(Command::Break { client, request });
             }
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -7,9 +7,8 @@
 use crate::log::log;
 use crate::pg::frontend::{Frontend, Wish};
 use crate::pg::sqlstate;
-use crate::pg::statement::{Classes, Statement};
+use crate::pg::statement::Statement;
 use birchreach::{Micros, RequestId};
-use birchreach_settings::Site;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
@@ -102,14 +101,15 @@
 
 /// What tells whether a statement is taken, and as what.
 struct Desk {
-    classes: Classes,
     /// The ids of open requests, of all clients.
     ids: HashSet<Box<[u8]>>,
 }
 
 impl Desk {
     fn ask(&mut self, cx: &Cx, s: &Statement) -> Result<Ask, (&'static str, &'static str)> {
-        let ask = self.classes.ask(s)?;
+        let class = cx.core.class(cx.now, &s.class);
+        let (id, class) = class.ok_or((sqlstate::INVALID_VALUE, "c names no class"))?;
+        let ask = s.ask(id, class, cx.core.tokens())?;
         if !cx.core.serves(ask.group) {
             return Err((sqlstate::INVALID_VALUE, "cluster names no group"));
         }
@@ -146,20 +146,15 @@
 const SPARE_INPUT: usize = 1 << 20;
 
 impl Clients {
-    pub fn new(
-        registry: &Registry,
-        mut listener: TcpListener,
-        site: &Site,
-        most: usize,
-    ) -> Result<Clients, String> {
+    pub fn new(registry: &Registry, mut listener: TcpListener, most: usize) -> Result<Clients, String> {
         let registered = registry.register(&mut listener, LISTENER, Interest::READABLE);
         registered.map_err(|e| format!("watching the listener: {e}"))?;
-        Ok(Clients {
+        let mut clients = Clients {
             listener: Some(listener),
             slots: Slab::new(),
-            desk: Desk { classes: Classes::new(site), ids: HashSet::new() },
-            most,
-            many: most * 2 / 5,
+            desk: Desk { ids: HashSet::new() },
+            most: 0,
+            many: 0,
             waiting: false,
             retry_set: false,
             leaving: false,
@@ -167,7 +162,14 @@
             unread: Vec::new(),
             thirsty: Vec::new(),
             spare: spare(),
-        })
+        };
+        clients.limit(most);
+        Ok(clients)
+    }
+
+    /// So many places there are from now on.
+    pub fn limit(&mut self, most: usize) {
+        (self.most, self.many) = (most, most * 2 / 5);
     }
 
     pub fn knock(&mut self) {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -16,6 +16,7 @@
 use crate::operator::Call;
 use agent::Agent;
 use birchreach::Micros;
+use birchreach_settings::Site;
 use clients::Clients;
 use door::Door;
 use mio::{Events, Poll, Token};
@@ -62,6 +63,16 @@
 /// Beyond the longest deadline, clients have gone: nothing more is owed to anyone.
 const LAST_CALL: Micros = 1_500_000;
 
+/// How many descriptors clients and databases may hold.
+fn places(sockets: usize) -> (usize, usize) {
+    let free = sockets.saturating_sub(OWN_SOCKETS);
+    (free - free / 2, free / 2)
+}
+
+fn longest_deadline(site: &Site) -> Micros {
+    site.module.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+}
+
 struct Proxy {
     poll: Poll,
     clock: Clock,
@@ -91,13 +102,11 @@
     watched.map_err(|e| format!("watching signals: {e}"))?;
     let clock = Clock::new();
     let now = clock.now();
-    let free = config.sockets - OWN_SOCKETS;
-    let for_databases = free / 2;
+    let (for_clients, for_databases) = places(config.sockets);
     let listener = listener::open(config.listen, config.inherited)?;
-    let clients = Clients::new(poll.registry(), listener, &config.site, free - for_databases)?;
+    let clients = Clients::new(poll.registry(), listener, for_clients)?;
     let door = Door::new(poll.registry(), config.operator)?;
     let known = config.known.take();
-    let deadlines = config.site.module.classes.iter().map(|c| c.deadline);
     let mut proxy = Proxy {
         clock,
         now,
@@ -108,7 +117,7 @@
         pool: Pool::new(&config.site, for_databases),
         agent: Agent::new(config.discovery, known.as_ref().map(|known| known.rev)),
         door,
-        longest_deadline: deadlines.max().unwrap_or(0),
+        longest_deadline: longest_deadline(&config.site),
         config,
         stopping: false,
         left: false,
@@ -220,7 +229,7 @@
         let stopping = self.stopping;
         self.with_door(|door, cx| {
             let Some(call) = door.ready(cx, key) else { return };
-            let figures = cx.core.stats.lines(cx.core.gauges());
+            let figures = cx.core.stats.lines(cx.core.gauges(cx.now));
             if let Some(caller) = door.caller(key) {
                 match call {
                     Call::Status if stopping => caller.no("stopping"),
@@ -299,17 +308,34 @@
         self.carry_out();
     }
 
-    /// Reads the configuration again, whole; one that is bad changes nothing. Where discovery is to be
-    /// found changes at once, all else with a restart.
+    /// Reads the configuration again, whole; of one that is bad nothing is taken. Discovery's address,
+    /// settings and limits change at once, in all places; the rest with a restart.
     fn reload(&mut self) {
-        let new = match config::load(config::environment) {
+        let new = match config::load(config::environment).and_then(|new| self.config.succeeds(new)) {
             Ok(new) => new,
-            Err(message) => return log!("event=reload-failed error=\"{message}\""),
+            Err(message) => {
+                self.core.stats.load_errors += 1;
+                return log!("event=reload-failed error=\"{message}\"");
+            }
         };
+        self.core.stats.loads += 1;
         let rest = self.config.differs(&new).join(",");
-        log!("event=reloaded discovery={} needs-restart={rest}", new.discovery);
-        self.config.discovery = new.discovery;
-        self.with(|_, _, agent, cx| agent.moved(cx, new.discovery));
+        let classes = new.site.class_names.join(",");
+        log!("event=reloaded discovery={} classes={classes} needs-restart={rest}", new.discovery);
+        // Requests that are open keep the deadlines that they came with.
+        self.longest_deadline = longest_deadline(&new.site).max(longest_deadline(&self.config.site));
+        let (for_clients, for_databases) = places(new.sockets);
+        self.core.settings(self.now, &new.site);
+        self.with(|clients, pool, agent, cx| {
+            pool.settings(&new.site);
+            pool.limit(cx, for_databases);
+            clients.limit(for_clients);
+            agent.moved(cx, new.discovery);
+        });
+        let Config { name, listen, operator, inherited, .. } = &self.config;
+        let (name, listen, operator, inherited) = (name.clone(), *listen, *operator, *inherited);
+        self.config = Config { name, listen, operator, inherited, ..new };
+        self.carry_out();
     }
 
     fn stop(&mut self) {
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -73,18 +73,33 @@
 
 impl Pool {
     pub fn new(site: &Site, most: usize) -> Pool {
-        let name = |place: Option<usize>| place.and_then(|p| site.report_names.get(p).cloned());
-        Pool {
+        let mut pool = Pool {
             slots: Slab::new(),
             idle: HashMap::new(),
             attempts: HashMap::new(),
             most,
             starved: false,
             serial: 0,
-            connect_timeout: site.module.connect_timeout.max(1),
-            idle_limit: (site.conn_idle as f64 * IDLE_KEPT) as Micros,
-            report: (name(site.report_position), name(site.report_role)),
-        }
+            connect_timeout: 0,
+            idle_limit: 0,
+            report: (None, None),
+        };
+        pool.settings(site);
+        pool
+    }
+
+    /// Takes what the settings say of connections to databases.
+    pub fn settings(&mut self, site: &Site) {
+        let name = |place: Option<usize>| place.and_then(|p| site.report_names.get(p).cloned());
+        self.connect_timeout = site.module.connect_timeout.max(1);
+        self.idle_limit = (site.conn_idle as f64 * IDLE_KEPT) as Micros;
+        self.report = (name(site.report_position), name(site.report_role));
+    }
+
+    /// So many places there are from now on; idle connections beyond them are closed.
+    pub fn limit(&mut self, cx: &mut Cx, most: usize) {
+        self.most = most;
+        while self.slots.len() > self.most && self.evict(cx) {}
     }
 
     pub fn start(&mut self, cx: &mut Cx, attempt: Attempt, server: ServerId, work: Work, until: Micros) {
--- a/proxy/src/pg/statement.rs
+++ b/proxy/src/pg/statement.rs
@@ -4,9 +4,7 @@
 use super::codec::MAX_VALUE;
 use super::sqlstate;
 use crate::core::{Ask, session};
-use birchreach::{ClassId, GroupId, Micros, Need};
-use birchreach_settings::Site;
-use std::collections::HashMap;
+use birchreach::{Class, ClassId, GroupId, Micros, Need, Tokens};
 use std::ops::Range;
 
 /// A statement with its comment. The text goes on as it came, but for `d`.
@@ -121,44 +119,29 @@
     }
 }
 
-/// The classes by name, as statements call them.
-pub struct Classes(HashMap<String, Class>);
-
-struct Class {
-    id: ClassId,
-    need: Need,
-    deadline: Micros,
-    carried: bool,
-}
-
 /// Answers are due before the client's own clock runs out, and that one started earlier.
 const MARGIN: Micros = 10_000;
 
-impl Classes {
-    pub fn new(site: &Site) -> Classes {
-        let class = |(i, name): (usize, &String)| {
-            let id = ClassId(u16::try_from(i).ok()?);
-            let class = site.module.classes.get(i)?;
-            let (need, deadline) = (class.need, class.deadline);
-            Some((name.clone(), Class { id, need, deadline, carried: site.carried[i] }))
-        };
-        Classes(site.class_names.iter().enumerate().filter_map(class).collect())
-    }
-
-    /// What the statement asks for, or the error that it gets.
-    pub fn ask(&self, s: &Statement) -> Result<Ask, (&'static str, &'static str)> {
-        let class = self.0.get(&s.class).ok_or((sqlstate::INVALID_VALUE, "c names no class"))?;
-        if s.write != (class.need == Need::Write) {
+impl Statement {
+    /// What it asks for by its class's rules, or the error that it gets.
+    pub fn ask(
+        &self,
+        id: ClassId,
+        class: &Class,
+        tokens: Tokens,
+    ) -> Result<Ask, (&'static str, &'static str)> {
+        if self.write != (class.need == Need::Write) {
             return Err((sqlstate::INVALID_VALUE, "the class does not go with this form of statement"));
         }
         let sessions = matches!(class.need, Need::Write | Need::Session);
+        let carried = class.need == Need::Session && tokens == Tokens::Carried;
         // Nobody of this class waits longer, whatever is claimed.
-        let wait = (Micros::from(s.wait_ms) * 1000).min(class.deadline);
+        let wait = (Micros::from(self.wait_ms) * 1000).min(class.deadline);
         Ok(Ask {
-            class: class.id,
-            group: GroupId(s.group),
-            session: sessions.then(|| session(s.key())),
-            after: s.after_ms.filter(|_| class.carried).map(|ms| ms * 1000),
+            class: id,
+            group: GroupId(self.group),
+            session: sessions.then(|| session(self.key())),
+            after: self.after_ms.filter(|_| carried).map(|ms| ms * 1000),
             patience: wait - MARGIN.min(wait / 10),
         })
     }
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -147,12 +147,16 @@
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
             ("reload", _) => {
                 let (path, text) = &self.config;
-                let (old, new) = line.strip_prefix("reload ").unwrap().split_once(" => ").unwrap();
                 let address = |l: &str| self.listeners[l].local_addr().unwrap().to_string();
                 let named =
                     |text: &str| text.replace("$agent", &address("agent")).replace("$q", &address("q"));
-                assert!(text.contains(&named(old)), "{line}");
-                std::fs::write(path, text.replacen(&named(old), &named(new), 1)).unwrap();
+                let mut text = text.clone();
+                for change in line.strip_prefix("reload ").unwrap().split(" ;; ") {
+                    let (old, new) = change.split_once(" => ").unwrap();
+                    assert!(old == "*" || text.contains(&named(old)), "{line}");
+                    text = if old == "*" { new.into() } else { text.replacen(&named(old), &named(new), 1) };
+                }
+                std::fs::write(path, text).unwrap();
                 self.signal("HUP");
             }
             ("define", name) => {
@@ -309,7 +313,7 @@
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report rude unfinished
-    operator upgrade stream
+    operator upgrade stream retune
 }
 
 /// Starts the program on a configuration, which it is to refuse.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,7 +136,7 @@
     Never,
 }
 
-/// What the router is told once, at its start.
+/// What the router is told at its start, and when it changes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many routers share the servers.
@@ -327,6 +327,8 @@
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The settings have changed. A class that open requests are of keeps its number and its rules.
+    Settings(Box<Settings>),
     /// News of the list.
     Members(Members),
     /// Following or asking for the list failed.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,6 +122,7 @@
     half: Micros,
     key: Place,
     attempts: u16,
+    most: u16,
     out: Vec<u16>,
     tried: Vec<ServerId>,
     /// Replicas asked where they stand for this read, and how long it waits for the last one.
@@ -223,6 +224,7 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now.max(self.now);
         match event {
+            Event::Settings(set) => self.settings(*set),
             Event::Members(list) => self.members(list),
             Event::ListFailed => self.list_failed(),
             Event::Request(request) => self.request(request, out),
@@ -256,6 +258,18 @@
         }
     }
 
+    /// What was learnt of a class is void where another has its number now; all else stands.
+    fn settings(&mut self, mut set: Settings) {
+        set.routers = set.routers.max(1);
+        self.latency.resize(set.classes.len(), (0.0, 0.0));
+        self.in_time.resize(set.classes.len(), [1.0; 2]);
+        for (i, c) in set.classes.iter().enumerate().filter(|(i, c)| self.set.classes.get(*i) != Some(*c)) {
+            self.latency[i] = (c.aim as f64 * FIRST_GUESS, c.aim as f64 * FIRST_GUESS);
+            self.in_time[i] = [1.0; 2];
+        }
+        self.set = set;
+    }
+
     // ---- Membership: who may be sent work ----
 
     fn members(&mut self, list: Members) {
@@ -315,9 +329,12 @@
         self.servers.contains_key(&id)
     }
 
-    /// Nothing new goes to it, but for a trial: it drains or is gone, or is suspect.
-    pub fn avoids(&self, id: ServerId) -> bool {
-        self.servers.get(&id).is_none_or(|s| !s.open || s.suspect)
+    /// Nothing new goes to it now: it drains or is gone, or is suspect and no trial is due. Writes know no
+    /// suspects but mute ones.
+    pub fn avoids(&self, now: Micros, id: ServerId) -> bool {
+        let Some(s) = self.ready(id) else { return true };
+        let writes = !s.mute && self.primary(s.line.group) == Some(id);
+        s.suspect && s.trial_at > Some(now) && !writes
     }
 
     /// Spread out, so that routers that failed together do not ask together again.
@@ -631,6 +648,7 @@
             token: self.token(&request),
             useful,
             unsent: true,
+            most: self.set.max_attempts,
             half: self.now + request.patience.max(0) / 2 - SOON,
             lot: self.rng.f64(),
             key: (c.need != Need::Write, -(c.worth * 1000.0) as i64, -self.arrivals, request.id),
@@ -685,7 +703,7 @@
     /// Sends the request to the server chosen, or holds it. True if it was sent.
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let Some(mut open) = self.open.remove(&id) else { return false };
-        let left = open.attempts < self.set.max_attempts && self.now < open.useful;
+        let left = open.attempts < open.most && self.now < open.useful;
         let to = if left { self.choose(&mut open, out) } else { None };
         let to = to.filter(|to| self.may_repeat(&open, *to));
         let alone = open.out.is_empty();
@@ -727,7 +745,7 @@
         };
         // What can no longer be answered in time is given up at once.
         let end = if open.unsent { open.useful.min(open.half + needed) } else { open.useful };
-        if self.now + needed >= end || open.attempts >= self.set.max_attempts || ran_out {
+        if self.now + needed >= end || open.attempts >= open.most || ran_out {
             self.give_up(id, out);
             return;
         }
