Spread calls to discovery over the herd; leave it in peace when it has no room

Wrong: Agent::call at the start of every proxy at once, and 640 ms as the longest wait whatever went wrong.

--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -1,9 +1,12 @@
 //! Discovery's list of databases and the watch on it: HTTP/1.1, as a machine that is fed bytes.
 
+use birchreach::Micros;
 use serde_json::Value;
 
 /// How long a watch may wait for news.
 pub const HOLD_MS: u64 = 20_000;
+/// What a call came to for which discovery had no room.
+const NO_ROOM: &str = "status 503";
 /// A list longer than this is no list.
 const MAX_BODY: usize = 4 << 20;
 const MAX_HEAD: usize = 16 << 10;
@@ -77,6 +80,54 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Broken(pub String);
 
+/// Wait before a new connection, doubled with each failure in a row, and a random part of it taken off. The first
+/// is well under the 200 ms within which a watch goes on.
+const FIRST_WAIT: Micros = 20_000;
+const LONGEST_WAIT: Micros = 640_000;
+/// Discovery serves all proxies, a call after the other, and fails those that wait too long; they have cost it
+/// their turn all the same. Each proxy leaves it so much time for each of the others: at the start, when many may
+/// start at once, and twice as much, then doubled, after a call for which there was no room.
+const TURN: Micros = 60_000;
+const MOST_DOUBLED: u32 = 3;
+
+/// When to call again.
+pub struct Pace {
+    proxies: Micros,
+    wait: Micros,
+    /// Calls in a row for which there was no room.
+    no_room: u32,
+    rng: fastrand::Rng,
+}
+
+impl Pace {
+    /// So many proxies call the same discovery.
+    pub fn new(proxies: u32, seed: u64) -> Pace {
+        Pace { proxies: proxies.into(), wait: FIRST_WAIT, no_room: 0, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// Before the first call.
+    pub fn first(&mut self) -> Micros {
+        self.rng.i64(0..=(self.proxies - 1).max(0) * TURN)
+    }
+
+    /// After a call that came to nothing.
+    pub fn failed(&mut self, reason: &str) -> Micros {
+        if reason == NO_ROOM {
+            let turns = (self.proxies.max(2) * TURN) << self.no_room;
+            self.no_room = (self.no_room + 1).min(MOST_DOUBLED);
+            return turns + self.rng.i64(0..=turns);
+        }
+        let wait = self.wait - self.rng.i64(0..=self.wait / 4);
+        self.wait = (self.wait * 2).min(LONGEST_WAIT);
+        wait
+    }
+
+    /// A call was answered, or goes elsewhere now.
+    pub fn answered(&mut self) {
+        (self.wait, self.no_room) = (FIRST_WAIT, 0);
+    }
+}
+
 /// The watch: calls go out, answers come in, one at a time.
 pub struct Watch {
     host: String,
@@ -149,6 +200,9 @@
         return if input.len() > MAX_HEAD { Err(Broken("endless headers".into())) } else { Ok(None) };
     };
     let code = response.code.unwrap_or(0);
+    if code == 503 {
+        return Err(Broken(NO_ROOM.into()));
+    }
     if code != 200 {
         return Err(Broken(format!("status {code}")));
     }
@@ -189,3 +243,28 @@
         rest = &rest[head + size + 2..];
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// 48 proxies that start at one moment, and find no room: their calls must not come in crowds.
+    #[test]
+    fn a_herd_spreads_its_calls() {
+        let mut paces: Vec<Pace> = (0..48).map(|seed| Pace::new(48, seed)).collect();
+        let most_in_a_second = |times: &[Micros]| {
+            times.iter().map(|at| times.iter().filter(|t| (0..1_000_000).contains(&(*t - at))).count()).max()
+        };
+        let first: Vec<Micros> = paces.iter_mut().map(Pace::first).collect();
+        assert!(most_in_a_second(&first) < Some(26), "{first:?}");
+        let again: Vec<Micros> = paces.iter_mut().map(|p| p.failed(NO_ROOM)).collect();
+        assert!(most_in_a_second(&again) < Some(26) && again.iter().all(|t| *t >= 2_880_000), "{again:?}");
+        assert!(paces.iter_mut().all(|p| p.failed(NO_ROOM) >= 5_760_000));
+        // A connection that broke is another matter: the watch goes on if the call comes soon.
+        assert!(paces.iter_mut().all(|p| p.failed("closed") <= 20_000));
+        paces.iter_mut().for_each(Pace::answered);
+        assert!(paces.iter_mut().all(|p| p.failed(NO_ROOM) < 5_760_001));
+        // One proxy alone waits for nobody at its start.
+        assert_eq!(Pace::new(1, 7).first(), 0);
+    }
+}
--- a/proxy/src/net/agent.rs
+++ b/proxy/src/net/agent.rs
@@ -3,7 +3,7 @@
 use super::pool::Cx;
 use super::stream;
 use super::{AGENT, Due};
-use crate::discovery::{Broken, HOLD_MS, Update, Watch};
+use crate::discovery::{Broken, HOLD_MS, Pace, Update, Watch};
 use crate::log::log;
 use crate::outbox::Outbox;
 use birchreach::Micros;
@@ -13,10 +13,6 @@
 
 /// Beyond the wait that was asked for, silence for this long means that the call is lost.
 const SILENT: Micros = 1_500_000;
-/// Wait before a new connection, doubled with each failure in a row. The first is well under the
-/// 200 ms within which a watch goes on.
-const FIRST_WAIT: Micros = 20_000;
-const LONGEST_WAIT: Micros = 640_000;
 /// An agent that answers sooner than this with no news is not to be asked in a tight loop.
 const TOO_SOON: Micros = 20_000;
 
@@ -28,11 +24,11 @@
     called_at: Micros,
     /// Numbers the calls; a time-out of an earlier one means nothing.
     turn: u64,
-    wait: Micros,
+    pace: Pace,
 }
 
 impl Agent {
-    pub fn new(address: SocketAddr, rev: Option<u64>) -> Agent {
+    pub fn new(address: SocketAddr, rev: Option<u64>, proxies: u32, seed: u64) -> Agent {
         let watch = Watch::new(address.to_string(), rev);
         Agent {
             address,
@@ -41,10 +37,16 @@
             out: Outbox::default(),
             called_at: 0,
             turn: 0,
-            wait: FIRST_WAIT,
+            pace: Pace::new(proxies, seed),
         }
     }
 
+    /// The first call; where proxies are many, not with all the others that start now.
+    pub fn start(&mut self, cx: &mut Cx) {
+        self.turn += 1;
+        cx.timers.set(cx.now + self.pace.first(), Due::AgentCall(self.turn));
+    }
+
     /// Discovery is to be found elsewhere: it is called there at once, for what is newer than what was
     /// told before.
     pub fn moved(&mut self, cx: &mut Cx, address: SocketAddr) {
@@ -53,7 +55,7 @@
         }
         self.address = address;
         self.watch.moved(address.to_string());
-        self.wait = FIRST_WAIT;
+        self.pace.answered();
         self.hang_up(cx, "moved");
         self.call(cx);
     }
@@ -101,8 +103,7 @@
     fn failed(&mut self, cx: &mut Cx, reason: &str) {
         self.hang_up(cx, reason);
         self.turn += 1;
-        cx.timers.set(cx.now + self.wait, Due::AgentCall(self.turn));
-        self.wait = (self.wait * 2).min(LONGEST_WAIT);
+        cx.timers.set(cx.now + self.pace.failed(reason), Due::AgentCall(self.turn));
     }
 
     fn write(&mut self, cx: &mut Cx) -> bool {
@@ -144,7 +145,7 @@
             Ok(None) if ended.is_err() => self.failed(cx, "closed"),
             Ok(None) => {}
             Ok(Some(news)) => {
-                self.wait = FIRST_WAIT;
+                self.pace.answered();
                 if ended.is_err() {
                     self.failed(cx, "closed");
                 } else if cx.now - self.called_at < TOO_SOON
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -115,7 +115,12 @@
         scratch: vec![0; 64 << 10],
         clients,
         pool: Pool::new(&config.site, for_databases),
-        agent: Agent::new(config.discovery, known.as_ref().map(|known| known.rev)),
+        agent: Agent::new(
+            config.discovery,
+            known.as_ref().map(|known| known.rev),
+            config.site.module.routers,
+            config.seed,
+        ),
         door,
         longest_deadline: longest_deadline(&config.site),
         config,
@@ -131,7 +136,7 @@
         proxy.members(Update { all: true, ..known });
     }
     proxy.timers.set(now + SWEEP, Due::Sweep);
-    proxy.with(|_, _, agent, cx| agent.call(cx));
+    proxy.with(|_, _, agent, cx| agent.start(cx));
     let mut events = Events::with_capacity(1024);
     while !(proxy.left && proxy.clients.is_empty()) {
         proxy.turn(&mut events, &mut signals)?;
