Let two processes of one proxy find each other and share its limits

The new one now tells the old one over a socket in $TMPDIR; the old one gives way at once and both have half (net/twin.rs, peer.rs, places() in net/mod.rs).

--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -146,7 +146,9 @@
     pub stats: Stats,
     /// The classes by number, with those that are no more while requests of them may be open.
     kinds: Vec<Kind>,
-    tokens: Tokens,
+    /// The module's settings but for its classes, and how many processes share them with this one.
+    module: Settings,
+    processes: u32,
     actions: Vec<Action>,
     commands: VecDeque<Command<W>>,
 }
@@ -181,7 +183,8 @@
             router,
             stats,
             kinds,
-            tokens: site.module.tokens,
+            module: site.module.clone(),
+            processes: 1,
             zones: site.zones.clone(),
             requests: HashMap::new(),
             out: HashMap::new(),
@@ -225,9 +228,21 @@
             }
         }
         self.zones.clone_from(&site.zones);
-        self.tokens = site.module.tokens;
+        self.module = site.module.clone();
+        self.tell_settings(now);
+    }
+
+    /// So many processes share what this proxy may do: each is a router of its own.
+    pub fn share(&mut self, now: Micros, processes: u32) {
+        if std::mem::replace(&mut self.processes, processes) != processes {
+            self.tell_settings(now);
+        }
+    }
+
+    fn tell_settings(&mut self, now: Micros) {
         let classes = self.kinds.iter().map(|k| k.rules.clone()).collect();
-        let settings = Settings { classes, ..site.module.clone() };
+        let routers = self.module.routers.saturating_mul(self.processes);
+        let settings = Settings { classes, routers, ..self.module.clone() };
         self.handle(now, Event::Settings(Box::new(settings)));
     }
 
@@ -241,7 +256,7 @@
 
     /// Where session reads' requirements come from.
     pub fn tokens(&self) -> Tokens {
-        self.tokens
+        self.module.tokens
     }
 
     pub fn open_requests(&self) -> usize {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -7,6 +7,7 @@
 mod net;
 mod operator;
 mod outbox;
+mod peer;
 mod pg;
 mod stats;
 
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -149,12 +149,12 @@
     pub fn new(registry: &Registry, mut listener: TcpListener, most: usize) -> Result<Clients, String> {
         let registered = registry.register(&mut listener, LISTENER, Interest::READABLE);
         registered.map_err(|e| format!("watching the listener: {e}"))?;
-        let mut clients = Clients {
+        Ok(Clients {
             listener: Some(listener),
             slots: Slab::new(),
             desk: Desk { ids: HashSet::new() },
-            most: 0,
-            many: 0,
+            most,
+            many: most * 2 / 5,
             waiting: false,
             retry_set: false,
             leaving: false,
@@ -162,14 +162,27 @@
             unread: Vec::new(),
             thirsty: Vec::new(),
             spare: spare(),
-        };
-        clients.limit(most);
-        Ok(clients)
+        })
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len()
     }
 
-    /// So many places there are from now on.
-    pub fn limit(&mut self, most: usize) {
+    /// So many places there are from now on; idle clients beyond them make room.
+    pub fn limit(&mut self, cx: &mut Cx, most: usize) {
         (self.most, self.many) = (most, most * 2 / 5);
+        for _ in self.most..self.slots.len() {
+            self.shed(cx, None, JUST_CAME);
+        }
+    }
+
+    /// Another process takes the clients, or takes them no more: this one accepts nobody meanwhile, and sends each
+    /// client there behind its next answer.
+    pub fn give_way(&mut self, give: bool) {
+        // Who came meanwhile and was not taken is told of no second time.
+        self.waiting |= self.handing && !give;
+        self.handing = give;
     }
 
     pub fn knock(&mut self) {
@@ -191,12 +204,7 @@
 
     /// There are connections to accept, and room for them.
     fn can_accept(&self) -> bool {
-        self.waiting && !self.retry_set && self.listener.is_some()
-    }
-
-    /// Where clients connect.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+        self.waiting && !self.retry_set && !self.handing && self.listener.is_some()
     }
 
     pub fn is_empty(&self) -> bool {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod stream;
 mod timers;
+mod twin;
 
 use crate::config::{self, Config};
 use crate::core::{Attempt, Command, Core};
@@ -25,15 +26,20 @@
 use signal_hook_mio::v1_0::Signals;
 use std::io::ErrorKind;
 use timers::{Clock, Timers};
+use twin::Twin;
 
 const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
 const AGENT: Token = Token(2);
 const DOOR: Token = Token(3);
+/// Where the next process meets this one, and the links to the one before and the one after.
+const HEIRS: Token = Token(4);
+const ELDER: Token = Token(5);
+const HEIR: Token = Token(6);
 /// Clients, databases and operators take turns behind these: place k of a slab has token first + k * STEP.
-const CLIENTS: usize = 6;
-const BACKENDS: usize = 7;
-const CALLERS: usize = 8;
+const CLIENTS: usize = 7;
+const BACKENDS: usize = 8;
+const CALLERS: usize = 9;
 const STEP: usize = 3;
 
 /// What a timer was set for.
@@ -54,6 +60,8 @@
 
 /// Descriptors kept for the rest: standard streams, poll, signals, listeners, discovery, operators.
 const OWN_SOCKETS: usize = 16 + door::MOST;
+/// Fewer would serve nobody; the own ones are seldom all in use.
+const LEAST_PLACES: usize = 8;
 const SWEEP: Micros = 250_000;
 /// After SIGTERM connections still arrive for a while; they are served. Then idle clients are closed.
 const LINGER: Micros = 800_000;
@@ -63,9 +71,12 @@
 /// Beyond the longest deadline, clients have gone: nothing more is owed to anyone.
 const LAST_CALL: Micros = 1_500_000;
 
-/// How many descriptors clients and databases may hold.
-fn places(sockets: usize) -> (usize, usize) {
-    let free = sockets.saturating_sub(OWN_SOCKETS);
+/// How many descriptors clients and databases of this process may hold: all but its own; half of that while
+/// another process is there; and while that one is leaving, all but what it still holds.
+fn places(sockets: usize, twin: &Twin) -> (usize, usize) {
+    let processes = twin.processes() as usize;
+    let free = sockets.saturating_sub(OWN_SOCKETS * processes);
+    let free = twin.left_over().map_or(free / processes, |held| free.saturating_sub(held)).max(LEAST_PLACES);
     (free - free / 2, free / 2)
 }
 
@@ -84,6 +95,7 @@
     pool: Pool,
     agent: Agent,
     door: Door,
+    twin: Twin,
     config: Config,
     longest_deadline: Micros,
     stopping: bool,
@@ -102,10 +114,14 @@
     watched.map_err(|e| format!("watching signals: {e}"))?;
     let clock = Clock::new();
     let now = clock.now();
-    let (for_clients, for_databases) = places(config.sockets);
     let listener = listener::open(config.listen, config.inherited)?;
-    let clients = Clients::new(poll.registry(), listener, for_clients)?;
+    let listen = listener.local_addr().map_err(|e| format!("the listener: {e}"))?;
     let door = Door::new(poll.registry(), config.operator)?;
+    // Only one that shares its listener can have another process beside it.
+    let shared = config.inherited.is_some();
+    let twin = if shared { Twin::meet(poll.registry(), listen) } else { Twin::default() };
+    let (for_clients, for_databases) = places(config.sockets, &twin);
+    let clients = Clients::new(poll.registry(), listener, for_clients)?;
     let known = config.known.take();
     let mut proxy = Proxy {
         clock,
@@ -122,19 +138,23 @@
             config.seed,
         ),
         door,
+        twin,
         longest_deadline: longest_deadline(&config.site),
         config,
         stopping: false,
         left: false,
         poll,
     };
-    let listen = proxy.clients.address().unwrap_or(proxy.config.listen);
     let Config { name, discovery, .. } = &proxy.config;
     let operator = proxy.door.address().map_or(String::new(), |at| format!(" operator={at}"));
     log!("event=started name={name} listen={listen} discovery={discovery}{operator}");
     if let Some(known) = known {
         proxy.members(Update { all: true, ..known });
     }
+    if proxy.twin.processes() > 1 {
+        log!("event=elder-met");
+    }
+    proxy.share();
     proxy.timers.set(now + SWEEP, Due::Sweep);
     proxy.with(|_, _, agent, cx| agent.start(cx));
     let mut events = Events::with_capacity(1024);
@@ -177,10 +197,11 @@
                 _ => {}
             }
         }
-        self.with_door(|door, cx| door.accept(cx));
+        self.with_own(|door, _, cx| door.accept(cx));
         for event in events.iter() {
             match event.token() {
                 DOOR => {}
+                HEIRS | ELDER | HEIR => self.meet(event.token()),
                 Token(t) if t >= CALLERS && t % STEP == CALLERS % STEP => {}
                 LISTENER => self.clients.knock(),
                 SIGNALS => {
@@ -218,7 +239,7 @@
         Ok(())
     }
 
-    fn with_door(&mut self, act: impl FnOnce(&mut Door, &mut Cx)) {
+    fn with_own(&mut self, act: impl FnOnce(&mut Door, &mut Twin, &mut Cx)) {
         let mut cx = Cx {
             now: self.now,
             registry: self.poll.registry(),
@@ -226,13 +247,37 @@
             core: &mut self.core,
             scratch: &mut self.scratch,
         };
-        act(&mut self.door, &mut cx);
+        act(&mut self.door, &mut self.twin, &mut cx);
+    }
+
+    /// Another process of this proxy came, spoke or went.
+    fn meet(&mut self, token: Token) {
+        self.with_own(|_, twin, cx| match token {
+            HEIRS => twin.accept(cx),
+            link => twin.ready(cx, link),
+        });
+        self.share();
+    }
+
+    /// What this process may do beside others.
+    fn share(&mut self) {
+        let (for_clients, for_databases) = places(self.config.sockets, &self.twin);
+        let replaced = self.twin.replaced();
+        self.core.share(self.now, self.twin.processes());
+        let stopping = self.stopping;
+        self.with(|clients, pool, _, cx| {
+            pool.limit(cx, for_databases);
+            clients.limit(cx, for_clients);
+            if !stopping {
+                clients.give_way(replaced);
+            }
+        });
     }
 
     /// An operator's connection is ready.
     fn operator(&mut self, key: usize) {
         let stopping = self.stopping;
-        self.with_door(|door, cx| {
+        self.with_own(|door, _, cx| {
             let Some(call) = door.ready(cx, key) else { return };
             let figures = cx.core.stats.lines(cx.core.gauges(cx.now));
             if let Some(caller) = door.caller(key) {
@@ -266,7 +311,15 @@
             }
         });
         match due {
-            Due::Sweep => self.with_door(|door, cx| door.sweep(cx)),
+            Due::Sweep => {
+                let (stopping, held) = (self.stopping, self.clients.len() + self.pool.len());
+                self.with_own(|door, twin, cx| {
+                    door.sweep(cx);
+                    if stopping {
+                        twin.leaving(cx, held);
+                    }
+                });
+            }
             Due::Leave => {
                 self.with(|clients, _, _, cx| clients.leave(cx));
                 self.left = true;
@@ -329,12 +382,12 @@
         log!("event=reloaded discovery={} classes={classes} needs-restart={rest}", new.discovery);
         // Requests that are open keep the deadlines that they came with.
         self.longest_deadline = longest_deadline(&new.site).max(longest_deadline(&self.config.site));
-        let (for_clients, for_databases) = places(new.sockets);
+        let (for_clients, for_databases) = places(new.sockets, &self.twin);
         self.core.settings(self.now, &new.site);
         self.with(|clients, pool, agent, cx| {
             pool.settings(&new.site);
             pool.limit(cx, for_databases);
-            clients.limit(for_clients);
+            clients.limit(cx, for_clients);
             agent.moved(cx, new.discovery);
         });
         let Config { name, listen, operator, inherited, .. } = &self.config;
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -96,6 +96,10 @@
         self.report = (name(site.report_position), name(site.report_role));
     }
 
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
     /// So many places there are from now on; idle connections beyond them are closed.
     pub fn limit(&mut self, cx: &mut Cx, most: usize) {
         self.most = most;
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -1,7 +1,6 @@
 //! Reading and writing one socket as far as it goes just now.
 
 use crate::outbox::Outbox;
-use mio::net::TcpStream;
 use std::io::{ErrorKind, Read, Write};
 
 /// How a connection ended, as far as the socket tells.
@@ -14,7 +13,7 @@
 /// Reads what has come, a piece at a time, until `take` wants no more. True: nothing more has come; else
 /// the socket will not say again that it is readable.
 pub fn read(
-    stream: &mut TcpStream,
+    stream: &mut impl Read,
     scratch: &mut [u8],
     mut take: impl FnMut(&[u8]) -> bool,
 ) -> Result<bool, Ended> {
@@ -34,7 +33,7 @@
 }
 
 /// Writes what waits. True: all of it has gone.
-pub fn write(stream: &mut TcpStream, out: &mut Outbox) -> Result<bool, Ended> {
+pub fn write(stream: &mut impl Write, out: &mut Outbox) -> Result<bool, Ended> {
     while !out.pending().is_empty() {
         match stream.write(out.pending()) {
             Ok(0) => return Err(Ended::Reset),
--- /dev/null
+++ b/proxy/src/net/twin.rs
@@ -0,0 +1,128 @@
+//! The process that this one replaces, and the one that replaces this: they meet at a Unix socket in `$TMPDIR`,
+//! so that limits and budgets cover both.
+
+use super::pool::Cx;
+use super::stream;
+use super::{ELDER, HEIR, HEIRS};
+use crate::config::hash;
+use crate::log::log;
+use crate::peer::{Peer, Word};
+use mio::net::{UnixListener, UnixStream};
+use mio::{Interest, Registry, Token};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+struct Link {
+    stream: UnixStream,
+    machine: Peer,
+    /// It takes clients, or was told to stop and holds so much.
+    word: Option<Word>,
+}
+
+#[derive(Default)]
+pub struct Twin {
+    path: Option<PathBuf>,
+    listener: Option<UnixListener>,
+    elder: Option<Link>,
+    heir: Option<Link>,
+}
+
+impl Twin {
+    /// Looks for a process that serves at this address, and says that this one does now; then waits for the next.
+    pub fn meet(registry: &Registry, address: SocketAddr) -> Twin {
+        let name = format!("birchreach-{:016x}.sock", hash(address.to_string().as_bytes()));
+        let path = std::env::temp_dir().join(name);
+        let mut twin = Twin { path: Some(path.clone()), ..Twin::default() };
+        // Refused, or not there: nobody serves, whatever file was left behind.
+        if let Ok(mut stream) = UnixStream::connect(&path)
+            && registry.register(&mut stream, ELDER, Interest::READABLE | Interest::WRITABLE).is_ok()
+        {
+            let mut machine = Peer::default();
+            machine.say(Word::Serving);
+            twin.elder = Some(Link { stream, machine, word: None });
+        }
+        twin.listen(registry);
+        twin
+    }
+
+    /// Takes the place where the next process looks. Without it, that one is not known to this.
+    pub fn listen(&mut self, registry: &Registry) {
+        let Some(path) = &self.path else { return };
+        let _ = std::fs::remove_file(path);
+        let bound = UnixListener::bind(path).and_then(|mut listener| {
+            registry.register(&mut listener, HEIRS, Interest::READABLE)?;
+            Ok(listener)
+        });
+        match bound {
+            Ok(listener) => self.listener = Some(listener),
+            Err(e) => log!("event=no-meeting-place path={} error=\"{e}\"", path.display()),
+        }
+    }
+
+    /// Someone came: the newest is the heir.
+    pub fn accept(&mut self, cx: &mut Cx) {
+        while let Some(Ok((mut stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
+            if let Some(mut old) = self.heir.take() {
+                let _ = cx.registry.deregister(&mut old.stream);
+            }
+            if cx.registry.register(&mut stream, HEIR, Interest::READABLE | Interest::WRITABLE).is_ok() {
+                self.heir = Some(Link { stream, machine: Peer::default(), word: None });
+                log!("event=heir-met");
+            }
+        }
+    }
+
+    /// Reads and writes one of the links.
+    pub fn ready(&mut self, cx: &mut Cx, token: Token) {
+        let (slot, who) = if token == ELDER { (&mut self.elder, "elder") } else { (&mut self.heir, "heir") };
+        let Some(link) = slot else { return };
+        let machine = &mut link.machine;
+        let read = stream::read(&mut link.stream, cx.scratch, |bytes| {
+            machine.feed(bytes);
+            true
+        });
+        let sound = loop {
+            match link.machine.next() {
+                Ok(None) => break true,
+                Ok(word) => link.word = word,
+                Err(_) => break false,
+            }
+        };
+        let written = stream::write(&mut link.stream, &mut link.machine.out);
+        if read.is_err() || written.is_err() || !sound {
+            let _ = cx.registry.deregister(&mut link.stream);
+            *slot = None;
+            log!("event={who}-gone");
+            if token == HEIR {
+                // It had taken the meeting place too.
+                self.listen(cx.registry);
+            }
+        }
+    }
+
+    /// Tells the heir how much this process still holds.
+    pub fn leaving(&mut self, cx: &mut Cx, held: usize) {
+        if let Some(heir) = &mut self.heir {
+            heir.machine.say(Word::Leaving(held));
+            self.ready(cx, HEIR);
+        }
+    }
+
+    /// Another process takes the clients now.
+    pub fn replaced(&self) -> bool {
+        self.heir.as_ref().is_some_and(|heir| heir.word == Some(Word::Serving))
+    }
+
+    /// How many processes there are, this one among them.
+    pub fn processes(&self) -> u32 {
+        1 + u32::from(self.elder.is_some()) + u32::from(self.heir.is_some())
+    }
+
+    /// What the elder, told to stop, still holds; it opens nothing beyond that.
+    pub fn left_over(&self) -> Option<usize> {
+        match self.elder.as_ref()?.word {
+            Some(Word::Leaving(held)) => Some(held),
+            _ => None,
+        }
+    }
+}
