--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,8 +30,7 @@
 const PACE: Micros = 100_000;
 /// Pause before sending again where the same server must take it; doubles with each attempt.
 const RESEND_PAUSE: Micros = 10_000;
-/// Further attempts earned by each request, and the most that all routers together may save up:
-/// twenty each would be thousands from hundreds of routers.
+/// Further attempts earned by each request, and the most that all routers together may save up.
 const EARN: f64 = 0.2;
 const PURSES: f64 = 80.0;
 /// Held reads, and writes, tried again by one event: released work doubles with each answer.
@@ -49,8 +48,7 @@
 const FIRST_CAP: f64 = 4.0;
 /// The least that the caps of all routers on a server come to: fewer would leave its cores idle.
 const LEAST_CAPS: f64 = 6.0;
-/// Reads of a class let in, per share of its last attempts that ended in time, and what each new
-/// read takes back of the distance to all.
+/// Reads let in per share of their class's last attempts in time, and what each takes back of the distance to all.
 const ADMIT: f64 = 1.5;
 const RECOVER: f64 = 0.01;
 /// Share of a primary's cap that reads may fill: the rest is kept for writes.
@@ -58,6 +56,10 @@
 /// Replicas asked where they stand for one read, and the pause before one too far behind is again.
 const ASKS: usize = 2;
 const FAR_PAUSE: Micros = 500_000;
+/// From so many routers on, this share of reads without a known fresh replica goes to the primary unasked, while
+/// that has room, and ties to the same replica for good: probes and connections are dear to thin routers.
+const HERD: u32 = 16;
+const UNASKED: f64 = 0.65;
 /// A server that left is forgotten after this time: its process may only have been started again.
 const FORGET: Micros = 20_000_000;
 /// The least time that counts as late: a wake at the present would find nothing changed, without end.
@@ -69,6 +71,8 @@
 struct Server {
     /// Its newest line in the list.
     line: Member,
+    /// Drawn once: how little this router prefers it among equals.
+    lot: f64,
     /// It may be sent new work. Where `gone` does not bind, that word changes nothing: a list that
     /// wrongly calls servers gone would empty whole groups; real traffic tells which are.
     open: bool,
@@ -286,14 +290,14 @@
             let phase = self.rng.f64();
             let server = self.servers.entry(m.server).or_insert_with(|| Server {
                 line: m.clone(),
+                lot: phase,
                 cap: FIRST_CAP,
                 trial_wait: FIRST_TRIAL,
                 allowed: (phase, self.now),
                 ..Server::default()
             });
             if server.line.started != m.started && m.started.is_some() {
-                // A new process: cold, and whatever was held against the old one, or known of its
-                // role, is void. Its log position stands.
+                // A new process: cold, and what was known of the old one but its log position is void.
                 server.primary_at = None;
                 server.allowed = (phase, self.now);
                 (server.failing, server.suspect, server.mute) = (0.0, false, false);
@@ -329,8 +333,7 @@
         self.servers.contains_key(&id)
     }
 
-    /// Nothing new goes to it now: it drains or is gone, or is suspect and no trial is due. Writes know no
-    /// suspects but mute ones.
+    /// Nothing new goes to it now: it drains or is gone, or is suspect (to writes: mute) and no trial is due.
     pub fn avoids(&self, now: Micros, id: ServerId) -> bool {
         let Some(s) = self.ready(id) else { return true };
         let writes = !s.mute && self.primary(s.line.group) == Some(id);
@@ -371,8 +374,7 @@
         (left + pace * (self.now - at) as f64).min((pace * self.set.fall_time as f64).max(1.0))
     }
 
-    /// The yardstick is the best of a few cold times: while most servers are cold, or congested for
-    /// want of others, the present would starve the cold ones and keep the fleet small.
+    /// The best of a few cold times: while most servers are cold, the present would starve them for good.
     fn count_served(&mut self, ending: Ending) {
         if self.now - self.served.1 >= self.set.cold_time {
             let latest = self.served.0 / self.ready_count as f64;
@@ -550,12 +552,12 @@
         below && (self.warmth(s, self.now) >= 1.0 || self.allowance(s) >= 1.0)
     }
 
-    /// The fewest outstanding per unit weight; own zone first while no busier; ties, which are most
-    /// choices of a thin router, by a lot that keeps to the weights.
+    /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot that keeps to weights.
     fn least(&mut self, among: &[ServerId]) -> Option<ServerId> {
         let rank = |id: &ServerId| {
             let s = &self.servers[id];
-            let lot = -(1.0 - self.rng.f64()).ln() / s.line.weight;
+            let drawn = if self.set.routers > HERD { s.lot } else { self.rng.f64() };
+            let lot = -(1.0 - drawn).ln() / s.line.weight;
             (f64::from(s.out) / s.line.weight, s.line.zone != self.set.zone, lot, *id)
         };
         let ranks = among.iter().map(rank);
@@ -578,14 +580,15 @@
         if best.is_some() {
             return best;
         }
-        if let Some(at) = required
+        let unasked = self.set.routers > HERD && open.lot < UNASKED;
+        let unasked = unasked && primary.is_some_and(|p| self.usable(p, open, READ_SHARE));
+        if let Some(at) = required.filter(|_| !unasked)
             && self.ask_where(open, at, &replicas, out)
         {
             return None;
         }
         if self.set.checks == Checks::Refuse {
-            // A server that lags says so and nothing ran: the furthest ahead is worth a try. But
-            // misses are work too.
+            // A server that lags says so and nothing ran: the furthest ahead is worth a try. But misses are work too.
             let able = replicas.iter().copied().filter(|r| self.usable(*r, open, 1.0));
             let able = able.filter(|r| required.is_none_or(|at| !self.far(&self.servers[r], at)));
             if let Some(ahead) = able.max_by_key(|r| (self.servers[r].position, *r)) {
@@ -663,8 +666,8 @@
         }
     }
 
-    /// A thin router has nothing out when overload begins, so no cap binds: it lets in a share of its
-    /// reads, by what became of the last ones. It recovers by itself, or would never learn better.
+    /// A thin router has nothing out when overload begins, so no cap binds: it lets in a share of its reads, by
+    /// what became of the last ones, and recovers by itself.
     fn admits(&mut self, open: &Open, fell_back: bool) -> bool {
         let share = &mut self.in_time[open.class][usize::from(fell_back)];
         blend(share, 1.0, RECOVER);
@@ -865,8 +868,7 @@
         self.set_wake(id, useful.min(self.now + overdue));
     }
 
-    /// The answer belongs to the client now: no deadline, no other copy. The server's work is done; how long
-    /// the client takes to read says nothing of it.
+    /// The answer belongs to the client now: no deadline, no other copy. The server's own work is done.
     fn started(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
         let (Some(open), Some(f)) = (self.open.get(&id), self.flying.get_mut(&(id, attempt))) else { return };
         self.wakes.remove(&(open.wake, id));
