Draw ties among replicas anew each time again; keep the module's lines short

Ties kept to one replica for good made the fleet test of a server that turned a connection down wait for ever, and five lines were longer than tests/size.rs allows; my check of the tests' output did not see a test that hangs. A router that never strays also never learns of the others.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 const FIRST_CAP: f64 = 4.0;
 /// The least that the caps of all routers on a server come to: fewer would leave its cores idle.
 const LEAST_CAPS: f64 = 6.0;
-/// Reads let in per share of their class's last attempts in time, and what each takes back of the distance to all.
+/// Reads let in per share of their class's last attempts in time, and what each takes back of the distance.
 const ADMIT: f64 = 1.5;
 const RECOVER: f64 = 0.01;
 /// Share of a primary's cap that reads may fill: the rest is kept for writes.
@@ -56,8 +56,8 @@
 /// Replicas asked where they stand for one read, and the pause before one too far behind is again.
 const ASKS: usize = 2;
 const FAR_PAUSE: Micros = 500_000;
-/// From so many routers on, this share of reads without a known fresh replica goes to the primary unasked, while
-/// that has room, and ties to the same replica for good: probes and connections are dear to thin routers.
+/// From so many routers on, this share of reads without a known fresh replica goes to the primary unasked,
+/// while that has room: probes are dear to thin routers.
 const HERD: u32 = 16;
 const UNASKED: f64 = 0.65;
 /// A server that left is forgotten after this time: its process may only have been started again.
@@ -71,8 +71,6 @@
 struct Server {
     /// Its newest line in the list.
     line: Member,
-    /// Drawn once: how little this router prefers it among equals.
-    lot: f64,
     /// It may be sent new work. Where `gone` does not bind, that word changes nothing: a list that
     /// wrongly calls servers gone would empty whole groups; real traffic tells which are.
     open: bool,
@@ -290,7 +288,6 @@
             let phase = self.rng.f64();
             let server = self.servers.entry(m.server).or_insert_with(|| Server {
                 line: m.clone(),
-                lot: phase,
                 cap: FIRST_CAP,
                 trial_wait: FIRST_TRIAL,
                 allowed: (phase, self.now),
@@ -552,12 +549,11 @@
         below && (self.warmth(s, self.now) >= 1.0 || self.allowance(s) >= 1.0)
     }
 
-    /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot that keeps to weights.
+    /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot by weight.
     fn least(&mut self, among: &[ServerId]) -> Option<ServerId> {
         let rank = |id: &ServerId| {
             let s = &self.servers[id];
-            let drawn = if self.set.routers > HERD { s.lot } else { self.rng.f64() };
-            let lot = -(1.0 - drawn).ln() / s.line.weight;
+            let lot = -(1.0 - self.rng.f64()).ln() / s.line.weight;
             (f64::from(s.out) / s.line.weight, s.line.zone != self.set.zone, lot, *id)
         };
         let ranks = among.iter().map(rank);
@@ -588,7 +584,7 @@
             return None;
         }
         if self.set.checks == Checks::Refuse {
-            // A server that lags says so and nothing ran: the furthest ahead is worth a try. But misses are work too.
+            // A server that lags says so and nothing ran: the furthest ahead is worth a try.
             let able = replicas.iter().copied().filter(|r| self.usable(*r, open, 1.0));
             let able = able.filter(|r| required.is_none_or(|at| !self.far(&self.servers[r], at)));
             if let Some(ahead) = able.max_by_key(|r| (self.servers[r].position, *r)) {
@@ -666,8 +662,8 @@
         }
     }
 
-    /// A thin router has nothing out when overload begins, so no cap binds: it lets in a share of its reads, by
-    /// what became of the last ones, and recovers by itself.
+    /// A thin router has nothing out when overload begins, so no cap binds: it lets in a share of its
+    /// reads, by what became of the last ones, and recovers by itself.
     fn admits(&mut self, open: &Open, fell_back: bool) -> bool {
         let share = &mut self.in_time[open.class][usize::from(fell_back)];
         blend(share, 1.0, RECOVER);
