--- /dev/null
+++ b/health/src/monitor.rs
@@ -0,0 +1,660 @@
+//! Facts in, one verdict out. Owns the tables of servers and groups, both bounded, and the order in which states go
+//! before one another. Never reads a clock: every time is the driver's.
+
+use crate::claim::Claim;
+use crate::evidence::{Against, Evidence};
+use crate::probes::Budget;
+use crate::settings::{Idle, Overload, Probing, Settings, Shared};
+use crate::verdict::{Capability, Change, GroupVerdict, Kind, Reason, State, Verdict};
+use crate::weight::Weight;
+use crate::{Group, Micros, Role, Server};
+use std::collections::BTreeMap;
+
+/// What is beyond is counted and left out: a list of this size is no list.
+const MOST_SERVERS: usize = 4096;
+const MOST_GROUPS: usize = 1024;
+/// Reads are judged over so many spans of this length, and from so many on.
+const SPANS: usize = 3;
+const SPAN: Micros = 1_000_000;
+const ENOUGH: u64 = 20;
+/// The share of reads, one in so many, that must be served.
+const ONE_IN: u64 = 10;
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// With an answer of any kind, an error too, after this time.
+    Answered { spent: Micros },
+    /// Its time ran out.
+    Unanswered,
+    /// No process took the connection.
+    Refused,
+    /// The connection broke.
+    Reset,
+    /// Called off before its time.
+    CalledOff,
+    /// Never sent, for no fault of the server's.
+    Unsent,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fact {
+    /// The list has a server, or says something else of it. `up`: it takes new work.
+    Listed { server: Server, group: Group, primary: bool, up: bool },
+    /// The list has it no more.
+    Unlisted { server: Server },
+    /// Discovery was heard.
+    Discovery,
+    /// An attempt goes out.
+    Sent { server: Server },
+    /// It came back, and what the server said that it is.
+    Ended { server: Server, write: bool, how: How, role: Option<Role> },
+    /// A probe that was asked for came back.
+    Probed { server: Server, how: How, role: Option<Role> },
+    /// A sign of life beside answers: a connection came up.
+    Alive { server: Server },
+    /// A read got its final answer.
+    Read { group: Group, served: bool },
+    /// Since when the oldest of a group's writes is held for want of a server, if one is.
+    Held { group: Group, since: Option<Micros> },
+    /// What the proxy itself has to carry: pressure (0 to 1) since the last time, and figures to tell.
+    Load { pressure: f64, in_progress: usize, held: usize, room: usize },
+    /// It is not ready before this time.
+    ReadyAt(Micros),
+    /// It was told to stop.
+    Stopping,
+    /// Another process takes over at this time; or does not, after all.
+    YieldAt(Option<Micros>),
+    /// An operator takes the proxy out, or back in.
+    Maintenance(bool),
+}
+
+/// Reads that ended lately.
+#[derive(Clone, Debug, Default)]
+struct Reads {
+    spans: [(u64, u64); SPANS],
+    at: Micros,
+}
+
+impl Reads {
+    fn turn(&mut self, now: Micros) {
+        while now - self.at >= SPAN {
+            let gone = (now - self.at) / SPAN;
+            if gone >= SPANS as Micros {
+                self.spans = Default::default();
+                self.at = now;
+                return;
+            }
+            self.spans.rotate_right(1);
+            self.spans[0] = (0, 0);
+            self.at += SPAN;
+        }
+    }
+
+    fn ended(&mut self, now: Micros, served: bool) {
+        self.turn(now);
+        self.spans[0].0 += u64::from(served);
+        self.spans[0].1 += 1;
+    }
+
+    fn failing(&mut self, now: Micros) -> bool {
+        self.turn(now);
+        let (served, all) = self.spans.iter().fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+        all >= ENOUGH && served * ONE_IN < all
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Members {
+    write: Claim,
+    read: Claim,
+    proof: Option<(Server, Micros)>,
+    /// Evidence has withdrawn the claim: what the list says counts no more until there is a proof.
+    distrust: Option<Reason>,
+    held: Option<Micros>,
+    reads: Reads,
+    /// Its servers by the list, and how many of them took work at the last look.
+    ids: Vec<Server>,
+    up: usize,
+}
+
+impl Members {
+    fn new(now: Micros) -> Members {
+        Members {
+            write: Claim::new(now),
+            read: Claim::new(now),
+            proof: None,
+            distrust: None,
+            held: None,
+            reads: Reads::default(),
+            ids: Vec::new(),
+            up: 0,
+        }
+    }
+
+    /// Those that take work.
+    fn working<'a>(&'a self, servers: &'a Servers) -> impl Iterator<Item = &'a Evidence> {
+        self.ids.iter().filter_map(|id| servers.get(id)).map(|w| &w.evidence).filter(|e| e.up)
+    }
+}
+
+type Servers = BTreeMap<Server, Watched>;
+
+struct Watched {
+    evidence: Evidence,
+    /// A probe is out since then.
+    probing: Option<Micros>,
+    probe_next: Micros,
+}
+
+pub struct Monitor {
+    settings: Settings,
+    servers: BTreeMap<Server, Watched>,
+    groups: BTreeMap<Group, Members>,
+    weight: Weight,
+    budget: Budget,
+    rng: fastrand::Rng,
+    discovery: Option<Micros>,
+    started: Micros,
+    listed: bool,
+    ready_at: Micros,
+    yield_at: Option<Micros>,
+    stopping: bool,
+    maintenance: bool,
+    seeing: Claim,
+    coping: Claim,
+    next: Micros,
+    verdict: Verdict,
+    changes: Vec<Change>,
+    wanted: Vec<Server>,
+    /// Answers and reads alone move nothing that is told at once.
+    stepped: Micros,
+}
+
+impl Monitor {
+    pub fn new(settings: Settings, now: Micros) -> Monitor {
+        Monitor {
+            verdict: Verdict::new(now, &settings),
+            rng: fastrand::Rng::with_seed(settings.seed),
+            settings,
+            servers: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            weight: Weight::new(now),
+            budget: Budget::new(now),
+            discovery: None,
+            started: now,
+            listed: false,
+            ready_at: now,
+            yield_at: None,
+            stopping: false,
+            maintenance: false,
+            seeing: Claim::new(now),
+            coping: Claim::new(now),
+            next: now,
+            changes: Vec::new(),
+            wanted: Vec::new(),
+            stepped: now,
+        }
+    }
+
+    /// Other settings are in force from now on; what was heard stays.
+    pub fn settings(&mut self, now: Micros, settings: Settings) {
+        self.verdict.classes.clone_from(&settings.classes);
+        self.verdict.sum = settings.sum;
+        self.settings = settings;
+        self.next = now;
+    }
+
+    /// When the verdict may change or a probe be due, unless a fact comes first.
+    pub fn next_change(&self) -> Micros {
+        self.next
+    }
+
+    /// As of the last step.
+    pub fn verdict(&self) -> &Verdict {
+        &self.verdict
+    }
+
+    /// What was told otherwise since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Whom to probe now. Each must come back as [`Fact::Probed`].
+    pub fn probes(&mut self) -> Vec<Server> {
+        std::mem::take(&mut self.wanted)
+    }
+
+    fn by(&mut self, at: Micros) {
+        self.next = self.next.min(at);
+    }
+
+    pub fn fact(&mut self, now: Micros, fact: Fact) {
+        match fact {
+            Fact::Listed { server, group, primary, up } => self.list(now, server, group, primary, up),
+            Fact::Unlisted { server } => {
+                self.leave(server);
+                self.servers.remove(&server);
+                self.by(now);
+            }
+            Fact::Discovery => self.discovery = Some(now),
+            Fact::Sent { server } => {
+                let Some(watched) = self.servers.get_mut(&server) else { return };
+                watched.evidence.sent(now);
+                let silent = watched.evidence.next(now, &self.settings);
+                let suspect = self.settings.probes.as_ref().map(|p| p.suspect);
+                let suspect = suspect.and_then(|long| watched.evidence.silent_at(now, long));
+                silent.into_iter().chain(suspect).for_each(|at| self.by(at));
+            }
+            Fact::Ended { server, write, how, role } => {
+                self.ended(now, server, write, how);
+                if let Some(role) = role {
+                    self.says(now, server, role);
+                }
+            }
+            Fact::Probed { server, how, role } => {
+                let Some(watched) = self.servers.get_mut(&server) else { return };
+                if watched.probing.take().is_none() {
+                    // It was taken for lost; but a sign of life is one.
+                    if !matches!(how, How::Answered { .. }) {
+                        return;
+                    }
+                    watched.evidence.alive(now);
+                    self.look(now);
+                } else {
+                    self.ended(now, server, false, how);
+                }
+                if let Some(role) = role {
+                    self.says(now, server, role);
+                }
+            }
+            Fact::Alive { server } => {
+                if let Some(watched) = self.servers.get_mut(&server) {
+                    let doubted = watched.evidence.is_gone() || watched.evidence.owes;
+                    watched.evidence.alive(now);
+                    if doubted {
+                        self.look(now);
+                    }
+                }
+            }
+            Fact::Read { group, served } => {
+                if let Some(members) = self.groups.get_mut(&group) {
+                    members.reads.ended(now, served);
+                    if served != members.read.able {
+                        self.look(now);
+                    }
+                }
+            }
+            Fact::Held { group, since } => {
+                if let Some(members) = self.groups.get_mut(&group)
+                    && std::mem::replace(&mut members.held, since) != since
+                {
+                    let told = since.map_or(now, |since| since + self.settings.hang_most);
+                    self.by(told.max(now));
+                }
+            }
+            Fact::Load { pressure, in_progress, held, room } => {
+                self.weight.press(now, pressure, &self.settings.weight);
+                (self.verdict.in_progress, self.verdict.held, self.verdict.room) = (in_progress, held, room);
+                self.by(now);
+            }
+            Fact::ReadyAt(at) => {
+                self.ready_at = at;
+                self.by(now);
+            }
+            Fact::Stopping => {
+                self.stopping = true;
+                self.by(now);
+            }
+            Fact::YieldAt(at) => {
+                self.yield_at = at;
+                self.by(now);
+            }
+            Fact::Maintenance(on) => {
+                self.maintenance = on;
+                self.by(now);
+            }
+        }
+    }
+
+    /// Something may be told otherwise, but need not be at once: a busy proxy looks a hundred times a second at most.
+    fn look(&mut self, now: Micros) {
+        self.by((self.stepped + 10_000).max(now));
+    }
+
+    fn list(&mut self, now: Micros, server: Server, group: Group, primary: bool, up: bool) {
+        self.listed = true;
+        self.by(now);
+        let moves = self.servers.get(&server).is_none_or(|w| w.evidence.group != group);
+        if moves {
+            let tables = self.servers.len() < MOST_SERVERS || self.servers.contains_key(&server);
+            if !tables || (self.groups.len() >= MOST_GROUPS && !self.groups.contains_key(&group)) {
+                self.verdict.ignored += 1;
+                return;
+            }
+            self.leave(server);
+            let evidence = Evidence::new(now, group);
+            self.servers.insert(server, Watched { evidence, probing: None, probe_next: now });
+            self.groups.entry(group).or_insert_with(|| Members::new(now)).ids.push(server);
+        }
+        if let Some(watched) = self.servers.get_mut(&server) {
+            (watched.evidence.listed_primary, watched.evidence.up) = (primary, up);
+        }
+    }
+
+    /// Its group has it no more.
+    fn leave(&mut self, server: Server) {
+        let group = self.servers.get(&server).map(|w| w.evidence.group);
+        if let Some(members) = group.and_then(|group| self.groups.get_mut(&group)) {
+            members.ids.retain(|id| *id != server);
+        }
+    }
+
+    fn ended(&mut self, now: Micros, server: Server, write: bool, how: How) {
+        let Some(watched) = self.servers.get_mut(&server) else { return };
+        let e = &mut watched.evidence;
+        let doubted = e.owes || e.is_gone();
+        match how {
+            How::Answered { spent } => e.answered(now, spent, write),
+            How::Unanswered => e.unanswered(now, write),
+            How::Refused => e.refused(now),
+            How::Reset => e.reset(now),
+            How::CalledOff | How::Unsent => e.called_off(now),
+        }
+        let group = e.group;
+        match how {
+            // The ordinary case costs no step.
+            How::Answered { .. } => {
+                if doubted && self.groups.get(&group).is_some_and(|g| !g.write.able || !g.read.able) {
+                    self.look(now);
+                }
+            }
+            How::CalledOff | How::Unsent => {}
+            How::Unanswered | How::Refused | How::Reset => self.by(now),
+        }
+    }
+
+    fn says(&mut self, now: Micros, server: Server, role: Role) {
+        let Some(watched) = self.servers.get_mut(&server) else { return };
+        watched.evidence.says(now, role);
+        let Some(members) = self.groups.get_mut(&watched.evidence.group) else { return };
+        match role {
+            Role::Primary => {
+                let moved = members.proof.is_none_or(|(proven, _)| proven != server);
+                members.proof = Some((server, now));
+                members.distrust = None;
+                if moved || !members.write.able {
+                    self.look(now);
+                }
+            }
+            Role::Replica => {
+                if members.proof.is_some_and(|(proven, _)| proven == server) {
+                    members.proof = None;
+                    members.distrust = Some(Reason::PrimaryDemoted);
+                    self.by(now);
+                }
+            }
+        }
+    }
+
+    /// Looks at everything that time or facts may have changed.
+    pub fn step(&mut self, now: Micros) {
+        self.stepped = now;
+        let mut next = Micros::MAX;
+        let mut by = |at: Option<Micros>| next = next.min(at.unwrap_or(Micros::MAX));
+        self.forget();
+        let s = &self.settings;
+        for (&group, members) in &mut self.groups {
+            let (able, reason) = writes(now, members, &self.servers, s);
+            if members.write.see(now, able, reason, s) {
+                self.changes.push(Change::Claim { group, kind: Kind::Write, able, reason });
+                if !able && reason.is_evidence() {
+                    (members.proof, members.distrust) = (None, Some(reason));
+                }
+            }
+            if let Some((_, at)) = members.proof {
+                by(Some(at + s.window).filter(|at| *at > now));
+            }
+            by(members.held.map(|since| since + s.hang_most).filter(|at| *at > now));
+            let (able, reason) = reads(now, members, &self.servers, s);
+            if members.read.see(now, able, reason, s) {
+                self.changes.push(Change::Claim { group, kind: Kind::Read, able, reason });
+            }
+            // Withdrawn for failing, they are tried again when the last spans have passed.
+            by((!members.read.able && reason == Reason::ReadsFailing).then_some(now + SPAN));
+            by(members.write.due(s));
+            by(members.read.due(s));
+        }
+        for watched in self.servers.values() {
+            by(watched.evidence.next(now, s));
+        }
+        by(self.own(now));
+        let s = &self.settings;
+        if let Some(probing) = s.probes.clone() {
+            by(self.schedule(now, &probing));
+        }
+        by([Some(self.ready_at), self.yield_at].into_iter().flatten().filter(|at| *at > now).min());
+        self.next = next.max(now + 1);
+    }
+
+    /// Groups that no server is of, and what was kept for them.
+    fn forget(&mut self) {
+        let (servers, budget) = (&self.servers, &mut self.budget);
+        self.groups.retain(|group, members| {
+            members.up = members.working(servers).count();
+            if members.ids.is_empty() {
+                budget.forget(*group);
+            }
+            !members.ids.is_empty()
+        });
+    }
+
+    /// The whole, and with it what is told of every group.
+    fn own(&mut self, now: Micros) -> Option<Micros> {
+        let s = &self.settings;
+        let deaf = self.discovery.unwrap_or(self.started) + s.discovery_after;
+        let tried = self.servers.values().filter(|w| w.evidence.owes || w.evidence.is_gone());
+        let dead = |w: &Watched| w.evidence.against(now, s).is_some_and(|a| a != Against::WritesUnanswered);
+        let (tried, unheard) = tried.fold((0, 0), |n, w| (n.0 + 1, n.1 + usize::from(dead(w))));
+        let lately = self.servers.values().filter_map(|w| w.evidence.heard).max();
+        let unheard = tried > 0 && unheard == tried && lately.is_none_or(|at| now - at >= s.hang_most);
+        let blind = now >= deaf && unheard;
+        let seeing = if blind { Reason::Blind } else { Reason::Proven };
+        self.seeing.see(now, !blind, seeing, s);
+        let crowded = self.weight.pressure() >= s.overload_at;
+        let coping = if crowded { Reason::Overloaded } else { Reason::Proven };
+        self.coping.see(now, !crowded, coping, s);
+        let starting = now < self.ready_at || !self.listed;
+        let replaced = self.yield_at.is_some_and(|at| now >= at);
+        let writes = self.groups.values().filter(|g| g.write.able).count();
+        let whole = self.groups.values().all(|g| g.write.able && g.read.able);
+        let worst = || {
+            let claims = self.groups.values().flat_map(|g| [&g.write, &g.read]);
+            claims.filter(|c| !c.able).map(|c| c.reason).max().unwrap_or(Reason::NoGroups)
+        };
+        let (state, reason) = if self.maintenance {
+            (State::Maintenance, Reason::Maintenance)
+        } else if self.stopping {
+            (State::Draining, Reason::Draining)
+        } else if replaced {
+            (State::Draining, Reason::Replaced)
+        } else if starting {
+            (State::Starting, Reason::Starting)
+        } else if !self.seeing.able {
+            (State::Blind, Reason::Blind)
+        } else if !self.coping.able {
+            (State::Overloaded, Reason::Overloaded)
+        } else if writes == 0 {
+            (State::NoPrimary, worst())
+        } else if !whole {
+            (State::Degraded, worst())
+        } else {
+            (State::Ready, Reason::Proven)
+        };
+        let able = match state {
+            State::Maintenance | State::Draining | State::Starting | State::Blind => false,
+            State::Overloaded => s.overload == Overload::Weight,
+            State::NoPrimary => s.shared == Shared::Tell,
+            State::Degraded | State::Ready => true,
+        };
+        let percent = self.weight.percent();
+        let weight = if able { percent } else { 0 };
+        let partial = able && matches!(state, State::Degraded | State::NoPrimary);
+        let old = &self.verdict;
+        if old.state != state {
+            self.changes.push(Change::State { from: old.state, to: state, reason });
+        }
+        let since = if old.whole.able == able && old.state == state { old.whole.since } else { now };
+        let told = Capability { able, partial, reason, since, weight };
+        // What the proxy's own fault forbids, it forbids in every group; a shared cause does not.
+        let own = !able && state != State::NoPrimary;
+        let told_of = |claim: &Claim| {
+            if own {
+                return told;
+            }
+            let weight = if claim.able { percent } else { 0 };
+            Capability { able: claim.able, partial: false, reason: claim.reason, since: claim.since, weight }
+        };
+        let groups = self.groups.iter().map(|(&group, members)| GroupVerdict {
+            group,
+            read: told_of(&members.read),
+            write: told_of(&members.write),
+            primary: members.proof.map(|(server, _)| server),
+            proven_at: members.proof.map(|(_, at)| at),
+            members: members.up,
+        });
+        let groups = groups.collect();
+        let verdict = &mut self.verdict;
+        (verdict.state, verdict.whole, verdict.groups) = (state, told, groups);
+        (verdict.discovery_at, verdict.pressure) = (self.discovery, self.weight.pressure());
+        let s = &self.settings;
+        // Where something is tried in vain, blindness comes with the end of discovery's time.
+        let deaf = (unheard && deaf > now).then_some(deaf);
+        // And with the last sign of life growing old.
+        let quiet = lately.map(|at| at + s.hang_most).filter(|at| *at > now && now >= deaf.unwrap_or(now));
+        [self.seeing.due(s), self.coping.due(s), deaf, quiet].into_iter().flatten().min()
+    }
+
+    /// Whom to probe: whoever owes a sign of life, the primaries of groups that are long unproven, and every member of
+    /// a group that has lost its primary.
+    fn schedule(&mut self, now: Micros, probing: &Probing) -> Option<Micros> {
+        let mut next: Option<Micros> = None;
+        for (&server, watched) in &mut self.servers {
+            let e = &watched.evidence;
+            let Some(members) = self.groups.get(&e.group).filter(|_| e.up) else { continue };
+            if let Some(since) = watched.probing {
+                // A driver that lost one must not keep the server from being asked for good.
+                if now - since < 4 * probing.timeout {
+                    continue;
+                }
+                watched.probing = None;
+                watched.evidence.called_off(now);
+            }
+            let e = &watched.evidence;
+            let leading = match members.proof {
+                Some((proven, _)) => proven == server,
+                None => e.listed_primary,
+            };
+            let suspect = e.is_gone() || e.silence(now) >= probing.suspect;
+            let searching = !members.write.able;
+            let proven = members.proof.map(|(_, at)| at);
+            let due = if (leading && suspect) || searching {
+                Some(now)
+            } else if leading {
+                Some(proven.map_or(now, |at| at + probing.every))
+            } else {
+                None
+            };
+            let rising = e.silent_at(now, probing.suspect).filter(|_| leading);
+            let mut by = |at: Micros| next = Some(next.map_or(at, |n: Micros| n.min(at)));
+            rising.into_iter().for_each(&mut by);
+            let Some(due) = due.map(|at| at.max(watched.probe_next)) else { continue };
+            if due > now {
+                by(due);
+                continue;
+            }
+            if self.budget.take(now, e.group, probing) {
+                watched.probing = Some(now);
+                watched.evidence.sent(now);
+                // Proxies must not ask in step.
+                let pause = if searching && !suspect { probing.timeout * 2 } else { probing.timeout };
+                watched.probe_next = now + pause / 2 + self.rng.i64(0..=pause);
+                self.wanted.push(server);
+                watched.evidence.next(now, &self.settings).into_iter().for_each(&mut by);
+            } else {
+                by(now + 50_000);
+            }
+        }
+        next
+    }
+}
+
+impl Reason {
+    /// Something that was heard, or not, speaks against it; the list alone does not take that back.
+    fn is_evidence(self) -> bool {
+        use Reason::*;
+        matches!(self, PrimarySilent | PrimaryGone | PrimaryDemoted | WritesUnanswered | WritesHeld)
+    }
+}
+
+fn against(now: Micros, e: &Evidence, s: &Settings) -> Option<Reason> {
+    Some(match e.against(now, s)? {
+        Against::Gone => Reason::PrimaryGone,
+        Against::Silent => Reason::PrimarySilent,
+        Against::WritesUnanswered => Reason::WritesUnanswered,
+    })
+}
+
+/// What is seen of a group's writes.
+fn writes(now: Micros, members: &Members, servers: &Servers, s: &Settings) -> (bool, Reason) {
+    if members.held.is_some_and(|since| now - since >= s.hang_most) {
+        return (false, Reason::WritesHeld);
+    }
+    let unproven = if s.idle == Idle::Trust { (true, Reason::Trusted) } else { (false, Reason::Unproven) };
+    if let Some((server, at)) = members.proof {
+        return match members
+            .ids
+            .contains(&server)
+            .then(|| servers.get(&server))
+            .flatten()
+            .map(|w| &w.evidence)
+            .filter(|e| e.up)
+        {
+            None => (false, Reason::PrimaryLeft),
+            Some(e) => match against(now, e, s) {
+                Some(reason) => (false, reason),
+                None if now - at < s.window => (true, Reason::Proven),
+                None => unproven,
+            },
+        };
+    }
+    if let Some(reason) = members.distrust {
+        return (false, reason);
+    }
+    match members.working(servers).find(|e| e.listed_primary) {
+        None => (false, Reason::NoPrimary),
+        Some(e) => match against(now, e, s) {
+            Some(reason) => (false, reason),
+            None if e.role.is_some_and(|(role, _)| role == Role::Replica) => (false, Reason::PrimaryDemoted),
+            None => unproven,
+        },
+    }
+}
+
+/// What is seen of a group's reads.
+fn reads(now: Micros, members: &mut Members, servers: &Servers, s: &Settings) -> (bool, Reason) {
+    let failing = members.reads.failing(now);
+    let up = || members.working(servers);
+    if up().next().is_none() {
+        (false, Reason::NoMembers)
+    } else if up().all(|e| e.dead(now, s)) {
+        (false, Reason::MembersSilent)
+    } else if failing {
+        (false, Reason::ReadsFailing)
+    } else if up().any(|e| e.heard.is_some_and(|at| now - at < s.window)) {
+        (true, Reason::Proven)
+    } else {
+        (true, Reason::Trusted)
+    }
+}
