Options of our own: XML judged by its schema, every fault with line and element

Need: health addresses and times are not the platform's JSON's, and must be checked before they count. Change: a crate options/ reads deploy/options.xml by uppsala's tree and XSD validator (one library without dependencies, lines in both); what a schema cannot say is checked on the same tree. Not read by the program yet.

--- /dev/null
+++ b/options/src/lib.rs
@@ -0,0 +1,299 @@
+//! The options of our own, XML with a schema (`deploy/options.xsd`), read into typed values.
+//!
+//! The schema judges names, types and ranges; what it cannot say (addresses used twice, sums of times) is checked here,
+//! on the same tree, so every fault has its line and element. A file is taken whole or not at all. It owns the form of
+//! the options; it never opens an address, and reads no file by itself.
+
+use birchreach_health::{Idle, Micros, Overload, Probing, Settings, Shared, Sum};
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use uppsala::{Document, NodeId, XmlError, XsdValidator};
+
+/// The schema that the operators' editors use is the one that judges.
+pub const SCHEMA: &str = include_str!("../../deploy/options.xsd");
+/// A file longer than this is no options file.
+pub const MOST_BYTES: usize = 256 << 10;
+
+/// All absent: everything new is off.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Options {
+    pub health: Option<Health>,
+}
+
+/// What balancers are told, and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Health {
+    pub http: Option<Http>,
+    pub agent: Option<Agent>,
+    /// Classes and seed are the program's to fill in.
+    pub settings: Settings,
+    /// After SIGTERM, draining is told for so long before the listener closes.
+    pub lead: Micros,
+}
+
+/// An address where balancers call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Door {
+    pub listen: SocketAddr,
+    /// Where that stands in the file.
+    pub line: usize,
+    /// Callers at once.
+    pub callers: usize,
+    /// A call that is begun, or a reply that is not read, ends the connection after this time.
+    pub silent: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Http {
+    pub door: Door,
+    /// A connection may be kept between calls for so long.
+    pub idle: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Agent {
+    pub door: Door,
+    /// A balancer that says nothing for so long asks for the whole.
+    pub ask: Micros,
+    /// Replies hold how many connections there is room for.
+    pub maxconn: bool,
+}
+
+/// Something wrong in the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub line: usize,
+    pub element: String,
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "line {}: {}: {}", self.line, self.element, self.message)
+    }
+}
+
+/// Reads the options; every fault comes out, in the order of lines.
+pub fn parse(text: &str) -> Result<Options, Vec<Fault>> {
+    let whole = |line, message: String| vec![Fault { line, element: "file".into(), message }];
+    if text.len() > MOST_BYTES {
+        return Err(whole(1, format!("longer than {MOST_BYTES} bytes")));
+    }
+    if text.contains("<!DOCTYPE") {
+        return Err(whole(1, "a document type is not taken".into()));
+    }
+    let doc = uppsala::parse(text).map_err(|e| {
+        let (line, message) = match e {
+            XmlError::Parse(e) => (e.line, e.message),
+            XmlError::WellFormedness(e) => (e.line, e.message),
+            XmlError::Namespace(e) => (e.line, e.message),
+            other => (1, other.to_string()),
+        };
+        whole(line, format!("not XML: {message}"))
+    })?;
+    let schema = uppsala::parse(SCHEMA).and_then(|schema| XsdValidator::from_schema(&schema));
+    let schema = schema.map_err(|e| whole(1, format!("the schema: {e}")))?;
+    let mut reader = Reader { doc: &doc, faults: Vec::new() };
+    for error in schema.validate(&doc) {
+        let line = error.line.unwrap_or(1);
+        let element = reader.element_at(line, error.column.unwrap_or(1));
+        reader.faults.push(Fault { line, element, message: error.message });
+    }
+    let options = if reader.faults.is_empty() { reader.options() } else { Options::default() };
+    let mut faults = reader.faults;
+    if faults.is_empty() {
+        return Ok(options);
+    }
+    faults.sort_by_key(|fault| fault.line);
+    Err(faults)
+}
+
+struct Reader<'a> {
+    doc: &'a Document<'a>,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn name(&self, node: NodeId) -> String {
+        self.doc.element(node).map_or_else(|| "file".into(), |e| e.name.local_name.to_string())
+    }
+
+    /// The element that begins at this place, or the last one before it.
+    fn element_at(&self, line: usize, column: usize) -> String {
+        let Some(root) = self.doc.document_element() else { return "file".into() };
+        let all = std::iter::once(root).chain(self.doc.descendants(root));
+        let place = |node: &NodeId| (self.doc.node_line(*node), self.doc.node_column(*node));
+        let before =
+            all.filter(|node| self.doc.element(*node).is_some() && place(node) <= (line, column.max(1)));
+        before.max_by_key(place).map_or_else(|| "file".into(), |node| self.name(node))
+    }
+
+    fn fault(&mut self, node: NodeId, message: impl Into<String>) {
+        let fault =
+            Fault { line: self.doc.node_line(node), element: self.name(node), message: message.into() };
+        self.faults.push(fault);
+    }
+
+    fn child(&self, node: NodeId, name: &str) -> Option<NodeId> {
+        let named = |child: &NodeId| self.doc.element(*child).is_some_and(|e| e.name.local_name == name);
+        self.doc.children_iter(node).find(named)
+    }
+
+    /// An attribute's value; what the schema lets through and we cannot read is a fault all the same.
+    fn value<T: FromStr>(&mut self, node: NodeId, name: &str) -> Option<T> {
+        let text = self.doc.get_attribute(node, name)?.trim().to_string();
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.fault(node, format!("{name}: '{text}' cannot be read"));
+        }
+        value
+    }
+
+    fn ms(&mut self, node: NodeId, name: &str, into: &mut Micros) {
+        if let Some(ms) = self.value::<Micros>(node, name) {
+            *into = ms * 1000;
+        }
+    }
+
+    fn number<T: FromStr>(&mut self, node: NodeId, name: &str, into: &mut T) {
+        if let Some(value) = self.value(node, name) {
+            *into = value;
+        }
+    }
+
+    /// One of two words; the schema knows no other.
+    fn word<T>(&self, node: NodeId, name: &str, words: [(&str, T); 2], into: &mut T) {
+        let told = self.doc.get_attribute(node, name);
+        if let Some((_, value)) = words.into_iter().find(|(word, _)| told == Some(word)) {
+            *into = value;
+        }
+    }
+
+    fn options(&mut self) -> Options {
+        let root = self.doc.document_element();
+        let health = root.and_then(|root| self.child(root, "health")).and_then(|node| self.health(node));
+        Options { health }
+    }
+
+    fn door(&mut self, node: NodeId) -> Option<Door> {
+        let mut door = Door {
+            listen: self.value(node, "listen")?,
+            line: self.doc.node_line(node),
+            callers: 256,
+            silent: 2_000_000,
+        };
+        self.number(node, "callers", &mut door.callers);
+        self.ms(node, "silent-ms", &mut door.silent);
+        Some(door)
+    }
+
+    fn health(&mut self, node: NodeId) -> Option<Health> {
+        let mut settings = Settings::default();
+        let mut lead = 3_000_000;
+        let http = self.child(node, "http").and_then(|node| {
+            let mut http = Http { door: self.door(node)?, idle: 65_000_000 };
+            self.ms(node, "idle-ms", &mut http.idle);
+            Some(http)
+        });
+        let agent = self.child(node, "agent").and_then(|node| {
+            let mut agent = Agent { door: self.door(node)?, ask: 20_000, maxconn: false };
+            self.ms(node, "ask-ms", &mut agent.ask);
+            agent.maxconn = matches!(self.doc.get_attribute(node, "maxconn"), Some("true" | "1"));
+            Some(agent)
+        });
+        let parts = ["claims", "probes", "weight", "stopping"].map(|name| self.child(node, name));
+        let [claims, probes, weight, stopping] = parts;
+        if let Some(node) = claims {
+            self.claims(node, &mut settings);
+        }
+        if let Some(node) = probes {
+            let mut probing = Probing::default();
+            self.ms(node, "every-ms", &mut probing.every);
+            self.ms(node, "suspect-ms", &mut probing.suspect);
+            self.ms(node, "timeout-ms", &mut probing.timeout);
+            self.number(node, "group-per-s", &mut probing.group_per_s);
+            self.number(node, "whole-per-s", &mut probing.whole_per_s);
+            settings.probes = Some(probing);
+        }
+        if let Some(node) = weight {
+            let w = &mut settings.weight;
+            self.number(node, "knee", &mut w.knee);
+            self.number(node, "hot", &mut w.hot);
+            self.number(node, "least", &mut w.least);
+            self.number(node, "up-per-s", &mut w.up_per_s);
+            self.number(node, "down-per-s", &mut w.down_per_s);
+            self.ms(node, "settle-ms", &mut w.settle);
+            self.number(node, "overload-at", &mut settings.overload_at);
+        }
+        if let Some(node) = stopping {
+            self.ms(node, "lead-ms", &mut lead);
+        }
+        // What does not hold together is told where it is written, or else at the whole.
+        for fault in settings.faults() {
+            let written = |n: &NodeId| self.doc.get_attribute(*n, fault.field).is_some();
+            let at = parts.into_iter().flatten().find(written).unwrap_or(node);
+            self.fault(at, format!("{}: {}", fault.field, fault.message));
+        }
+        if http.is_none() && agent.is_none() {
+            self.fault(node, "neither http nor agent: nobody could ask");
+        }
+        if let (Some(http), Some(agent)) = (&http, &agent)
+            && meet(http.door.listen, agent.door.listen)
+        {
+            let line = agent.door.line;
+            let message = format!("listen: {} is used by http too", agent.door.listen);
+            self.faults.push(Fault { line, element: "agent".into(), message });
+        }
+        Some(Health { http, agent, settings, lead })
+    }
+
+    fn claims(&mut self, node: NodeId, s: &mut Settings) {
+        self.word(node, "idle", [("trust", Idle::Trust), ("withdraw", Idle::Withdraw)], &mut s.idle);
+        self.word(node, "shared", [("tell", Shared::Tell), ("down", Shared::Down)], &mut s.shared);
+        self.word(
+            node,
+            "overload",
+            [("weight", Overload::Weight), ("down", Overload::Down)],
+            &mut s.overload,
+        );
+        self.word(node, "sum", [("any", Sum::Any), ("all", Sum::All)], &mut s.sum);
+        for (name, into) in [
+            ("window-ms", &mut s.window),
+            ("fall-ms", &mut s.fall),
+            ("rise-ms", &mut s.rise),
+            ("rise-most-ms", &mut s.rise_most),
+            ("hold-able-ms", &mut s.hold_able),
+            ("hold-unable-ms", &mut s.hold_unable),
+            ("hang-least-ms", &mut s.hang_least),
+            ("hang-most-ms", &mut s.hang_most),
+            ("discovery-after-ms", &mut s.discovery_after),
+        ] {
+            self.ms(node, name, into);
+        }
+    }
+}
+
+impl Options {
+    /// Addresses here that something else in the process uses already.
+    pub fn taken(&self, others: &[(&str, SocketAddr)]) -> Vec<Fault> {
+        let Some(health) = &self.health else { return Vec::new() };
+        let doors = [
+            ("http", health.http.as_ref().map(|h| &h.door)),
+            ("agent", health.agent.as_ref().map(|a| &a.door)),
+        ];
+        let doors = doors.into_iter().filter_map(|(element, door)| Some((element, door?)));
+        let clash = |(element, door): (&str, &Door)| {
+            let (name, _) = others.iter().find(|(_, at)| meet(*at, door.listen))?;
+            let message = format!("listen: {} is used as {name} already", door.listen);
+            Some(Fault { line: door.line, element: element.into(), message })
+        };
+        doors.filter_map(clash).collect()
+    }
+}
+
+/// Two sockets cannot listen on both.
+fn meet(a: SocketAddr, b: SocketAddr) -> bool {
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() != 0 && a.port() == b.port() && (a.ip() == b.ip() || any)
+}
