Log on tracing: the limit is a layer, lines go out in one write, JSON for collectors

Need: collectors want structure and levels, and the macro was hand-made. Quoted values escape quotes and control characters, so remote text stays on one line. eprintln wrote each fragment with a call of its own; a line is one write now.

--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -103,7 +103,16 @@
         id: u32,
         at: Micros,
     },
-    Log(String),
+    Log(Line),
+}
+
+/// Something to be told in the log.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Line {
+    /// A note of the decision module.
+    Module(String),
+    /// The list names a server for the first time; the module's notes call it by its number.
+    Server { number: u32, uid: String, endpoint: String },
 }
 
 struct Entry<W> {
@@ -316,7 +325,7 @@
                 // The list is watched at all times, whether the module asks or not.
                 Action::FollowList | Action::AskList => {}
                 Action::Log(note) => {
-                    self.commands.push_back(Command::Log(format!("event=module note=\"{note}\"")));
+                    self.commands.push_back(Command::Log(Line::Module(note)));
                 }
             }
         }
@@ -446,9 +455,8 @@
             let next = ServerId(self.named);
             let server = *self.roster.entry(t.uid.clone()).or_insert(next);
             if server == next {
-                // The module's notes call it by its number.
-                let line = format!("event=server number={} uid={} endpoint={}", server.0, t.uid, t.endpoint);
-                self.commands.push_back(Command::Log(line));
+                let (uid, endpoint) = (t.uid.clone(), t.endpoint.clone());
+                self.commands.push_back(Command::Log(Line::Server { number: server.0, uid, endpoint }));
                 self.named += 1;
             }
             let address = t.endpoint.parse().ok();
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -12,6 +12,7 @@
 mod stats;
 
 fn main() {
+    log::start(log::Format::Logfmt, "info".parse().unwrap_or_default());
     // Before all else: until they are caught, signals end the process.
     let signals = net::signals().unwrap_or_else(|message| quit(&message, 1));
     let config = config::load(config::environment).unwrap_or_else(|message| quit(&message, 2));
--- a/proxy/src/net/agent.rs
+++ b/proxy/src/net/agent.rs
@@ -4,12 +4,13 @@
 use super::stream;
 use super::{AGENT, Due};
 use crate::discovery::{Broken, HOLD_MS, Pace, Update, Watch};
-use crate::log::log;
+use crate::log::Quoted;
 use crate::outbox::Outbox;
 use birchreach::Micros;
 use mio::Interest;
 use mio::net::TcpStream;
 use std::net::SocketAddr;
+use tracing::info;
 
 /// Beyond the wait that was asked for, silence for this long means that the call is lost.
 const SILENT: Micros = 1_500_000;
@@ -97,7 +98,7 @@
         if let Some(mut stream) = self.stream.take() {
             let _ = cx.registry.deregister(&mut stream);
         }
-        log!("conn=discovery reason=\"{reason}\"");
+        info!(conn = "discovery", reason = %Quoted(reason));
     }
 
     fn failed(&mut self, cx: &mut Cx, reason: &str) {
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -4,7 +4,7 @@
 use super::stream::{self, Ended};
 use super::{CLIENTS, Due, LISTENER, STEP};
 use crate::core::{Answer, Ask, Attempt};
-use crate::log::log;
+use crate::log::Quoted;
 use crate::pg::frontend::{Frontend, Wish};
 use crate::pg::sqlstate;
 use crate::pg::statement::Statement;
@@ -16,6 +16,7 @@
 use std::fs::File;
 use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
+use tracing::{info, warn};
 
 struct Client {
     stream: TcpStream,
@@ -237,7 +238,7 @@
                 Err(_) if self.spare.take().is_some() => continue,
                 Err(e) => {
                     // Trying again at once would spin.
-                    log!("event=accept-failed error=\"{e}\"");
+                    warn!(event = "accept-failed", error = %Quoted(e));
                     self.shed(cx, None, JUST_CAME);
                     self.pause(cx);
                 }
@@ -283,7 +284,7 @@
         let key = slot.key();
         let token = Token(CLIENTS + key * STEP);
         if let Err(e) = cx.registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE) {
-            log!("conn=client peer={peer} reason=no-socket error=\"{e}\"");
+            warn!(conn = "client", %peer, reason = "no-socket", error = %Quoted(e));
             return None;
         }
         slot.insert(Client {
@@ -482,7 +483,7 @@
     fn close(&mut self, cx: &mut Cx, key: usize, reason: &str) {
         let mut c = self.slots.remove(key);
         let _ = cx.registry.deregister(&mut c.stream);
-        log!("conn=client peer={} answered={} reason={reason}", c.peer, c.served);
+        info!(conn = "client", peer = %c.peer, answered = c.served, reason);
         if let Some((request, work)) = c.request {
             self.desk.ids.remove(work.id());
             cx.core.gone(cx.now, request);
--- a/proxy/src/net/door.rs
+++ b/proxy/src/net/door.rs
@@ -4,7 +4,6 @@
 use super::pool::Cx;
 use super::stream;
 use super::{CALLERS, DOOR, STEP};
-use crate::log::log;
 use crate::operator::{Call, Caller};
 use birchreach::Micros;
 use mio::net::{TcpListener, TcpStream};
@@ -12,6 +11,7 @@
 use slab::Slab;
 use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
+use tracing::info;
 
 /// Callers at once; one more, and the one that has been there longest goes.
 pub const MOST: usize = 8;
@@ -138,6 +138,6 @@
     fn close(&mut self, cx: &mut Cx, key: usize, reason: &str) {
         let mut c = self.slots.remove(key);
         let _ = cx.registry.deregister(&mut c.stream);
-        log!("conn=operator reason={reason}");
+        info!(conn = "operator", reason);
     }
 }
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -11,9 +11,9 @@
 mod twin;
 
 use crate::config::{self, Config};
-use crate::core::{Attempt, Command, Core};
+use crate::core::{Attempt, Command, Core, Line};
 use crate::discovery::Update;
-use crate::log::log;
+use crate::log::Quoted;
 use crate::operator::Call;
 use agent::Agent;
 use birchreach::Micros;
@@ -26,6 +26,7 @@
 use signal_hook_mio::v1_0::Signals;
 use std::io::ErrorKind;
 use timers::{Clock, Timers};
+use tracing::{info, warn};
 use twin::Twin;
 
 const LISTENER: Token = Token(0);
@@ -146,13 +147,13 @@
         poll,
     };
     let Config { name, discovery, .. } = &proxy.config;
-    let operator = proxy.door.address().map_or(String::new(), |at| format!(" operator={at}"));
-    log!("event=started name={name} listen={listen} discovery={discovery}{operator}");
+    let operator = proxy.door.address().map(tracing::field::display);
+    info!(event = "started", name, %listen, %discovery, operator);
     if let Some(known) = known {
         proxy.members(Update { all: true, ..known });
     }
     if proxy.twin.processes() > 1 {
-        log!("event=elder-met");
+        info!(event = "elder-met");
     }
     proxy.share();
     proxy.timers.set(now + SWEEP, Due::Sweep);
@@ -161,7 +162,7 @@
     while !(proxy.left && proxy.clients.is_empty()) {
         proxy.turn(&mut events, &mut signals)?;
     }
-    log!("event=stopped open={}", proxy.core.open_requests());
+    info!(event = "stopped", open = proxy.core.open_requests());
     Ok(())
 }
 
@@ -325,7 +326,7 @@
                 self.left = true;
             }
             Due::Exit => {
-                log!("event=stopped open={}", self.core.open_requests());
+                info!(event = "stopped", open = self.core.open_requests());
                 std::process::exit(0);
             }
             _ => {}
@@ -354,13 +355,16 @@
                 Command::Piece { client, request, bytes } => clients.piece(cx, client, request, &bytes),
                 Command::Break { client, request } => clients.broken(cx, client, request),
                 Command::Wake { id, at } => cx.timers.set(at, Due::Module(id)),
-                Command::Log(line) => log!("{line}"),
+                Command::Log(Line::Module(note)) => info!(event = "module", note = %Quoted(note)),
+                Command::Log(Line::Server { number, uid, endpoint }) => {
+                    info!(event = "server", number, uid, endpoint);
+                }
             });
         }
     }
 
     fn members(&mut self, update: Update) {
-        log!("event=list rev={} all={} lines={}", update.rev, update.all, update.targets.len());
+        info!(event = "list", rev = update.rev, all = update.all, lines = update.targets.len());
         let moved = self.core.members(self.now, update);
         self.with(|_, pool, _, cx| moved.into_iter().for_each(|server| pool.moved(cx, server)));
         self.carry_out();
@@ -373,13 +377,13 @@
             Ok(new) => new,
             Err(message) => {
                 self.core.stats.load_errors += 1;
-                return log!("event=reload-failed error=\"{message}\"");
+                return warn!(event = "reload-failed", error = %Quoted(message));
             }
         };
         self.core.stats.loads += 1;
         let rest = self.config.differs(&new).join(",");
         let classes = new.site.class_names.join(",");
-        log!("event=reloaded discovery={} classes={classes} needs-restart={rest}", new.discovery);
+        info!(event = "reloaded", discovery = %new.discovery, classes, "needs-restart" = rest);
         // Requests that are open keep the deadlines that they came with.
         self.longest_deadline = longest_deadline(&new.site).max(longest_deadline(&self.config.site));
         let (for_clients, for_databases) = places(new.sockets, &self.twin);
@@ -398,7 +402,7 @@
 
     fn stop(&mut self) {
         if !std::mem::replace(&mut self.stopping, true) {
-            log!("event=stopping open={}", self.core.open_requests());
+            info!(event = "stopping", open = self.core.open_requests());
             let linger = if self.config.inherited.is_some() {
                 self.with(|clients, _, _, cx| clients.hand_over(cx));
                 HANDOVER
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -5,7 +5,7 @@
 use super::timers::Timers;
 use super::{BACKENDS, Due, STEP};
 use crate::core::{Attempt, Core, Reply};
-use crate::log::log;
+use crate::log::Quoted;
 use crate::pg::backend::{Backend, Heard};
 use crate::pg::statement::Statement;
 use birchreach::{Ending, Micros, ServerId};
@@ -17,6 +17,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tracing::info;
 
 pub type Work = Rc<Statement>;
 
@@ -190,10 +191,8 @@
             return Err(Ending::Moot);
         }
         let failed = |cx: &Cx, reason, error| {
-            log!(
-                "conn=database server={} state=opening reason={reason} error=\"{error}\"",
-                cx.core.name(server)
-            );
+            let server = cx.core.name(server);
+            info!(conn = "database", server, state = "opening", reason, error = %Quoted(error));
         };
         let mut stream = match TcpStream::connect(address) {
             Ok(stream) => stream,
@@ -458,7 +457,7 @@
         } else {
             "idle"
         };
-        log!("conn=database server={} state={state} reason={reason}", cx.core.name(c.server));
+        info!(conn = "database", server = cx.core.name(c.server), state, reason);
         c.job
     }
 
--- a/proxy/src/net/twin.rs
+++ b/proxy/src/net/twin.rs
@@ -5,12 +5,13 @@
 use super::stream;
 use super::{ELDER, HEIR, HEIRS};
 use crate::config::hash;
-use crate::log::log;
+use crate::log::Quoted;
 use crate::peer::{Peer, Word};
 use mio::net::{UnixListener, UnixStream};
 use mio::{Interest, Registry, Token};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use tracing::{info, warn};
 
 struct Link {
     stream: UnixStream,
@@ -55,7 +56,9 @@
         });
         match bound {
             Ok(listener) => self.listener = Some(listener),
-            Err(e) => log!("event=no-meeting-place path={} error=\"{e}\"", path.display()),
+            Err(e) => {
+                warn!(event = "no-meeting-place", path = %path.display(), error = %Quoted(e));
+            }
         }
     }
 
@@ -67,14 +70,15 @@
             }
             if cx.registry.register(&mut stream, HEIR, Interest::READABLE | Interest::WRITABLE).is_ok() {
                 self.heir = Some(Link { stream, machine: Peer::default(), word: None });
-                log!("event=heir-met");
+                info!(event = "heir-met");
             }
         }
     }
 
     /// Reads and writes one of the links.
     pub fn ready(&mut self, cx: &mut Cx, token: Token) {
-        let (slot, who) = if token == ELDER { (&mut self.elder, "elder") } else { (&mut self.heir, "heir") };
+        let elder = token == ELDER;
+        let slot = if elder { &mut self.elder } else { &mut self.heir };
         let Some(link) = slot else { return };
         let machine = &mut link.machine;
         let read = stream::read(&mut link.stream, cx.scratch, |bytes| {
@@ -92,7 +96,7 @@
         if read.is_err() || written.is_err() || !sound {
             let _ = cx.registry.deregister(&mut link.stream);
             *slot = None;
-            log!("event={who}-gone");
+            info!(event = if elder { "elder-gone" } else { "heir-gone" });
             if token == HEIR {
                 // It had taken the meeting place too.
                 self.listen(cx.registry);
