Command line on clap: serve, check and health; every fault with file, line and element

Need: operators check a configuration before it counts, and ask a running proxy how it is. Change: sub-commands serve (the default, as the platform starts it), check (all faults of JSON and XML at once: the settings' reader now goes on after a fault, and jsonc-parser's ranges give the lines) and health (asks over HTTP by ureq, without TLS).

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,10 +1,14 @@
 //! What the proxy is told at its start, and again at each SIGHUP: `RELAY_CONFIG` names a JSON file; `RELAY_NAME`,
-//! `RELAY_LISTEN`, `RELAY_DISCOVERY` and `RELAY_OPERATOR` stand in for what that file leaves out.
+//! `RELAY_LISTEN`, `RELAY_DISCOVERY` and `RELAY_OPERATOR` stand in for what that file leaves out. Options of our own, an
+//! XML file that the command line names, stand beside it. Both are taken, or neither.
 
 use crate::discovery::Update;
+use birchreach_options::Options;
 use birchreach_settings::Site;
 use serde_json::Value;
+use std::fmt;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// Descriptors assumed where no limit is told.
 const SOCKETS: u64 = 1024;
@@ -26,6 +30,8 @@
     /// The list of databases as this proxy last had it.
     pub known: Option<Update>,
     pub site: Site,
+    /// Options of our own; without a file all that is new is off.
+    pub options: Options,
     /// The settings and limits as the file has them.
     pub raw: Value,
 }
@@ -62,15 +68,136 @@
     std::env::var(name).ok()
 }
 
-/// Reads the configuration; the error is one plain line.
-pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+/// Something wrong in a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub file: PathBuf,
+    pub line: usize,
+    pub element: String,
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}:{}: {}: {}", self.file.display(), self.line, self.element, self.message)
+    }
+}
+
+/// Reads the configuration and the options; the error is one plain line.
+pub fn load(env: impl Fn(&str) -> Option<String>, options: Option<&Path>) -> Result<Config, String> {
     let path = env("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set: it must name the configuration file")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    parse(&text, env).map_err(|e| format!("{path}: {}", e.replace('\n', " ")))
+    let first = |faults: Vec<String>| faults.into_iter().next().unwrap_or_default().replace('\n', " ");
+    let mut config = parse(&text, env).map_err(|faults| format!("{path}: {}", first(faults)))?;
+    if let Some(path) = options {
+        config.options = read_options(path, &config).map_err(|faults| {
+            let more = faults.len().saturating_sub(1);
+            let more = if more > 0 { format!(" (and {more} more)") } else { String::new() };
+            faults.into_iter().next().map_or_else(String::new, |f| f.to_string()) + &more
+        })?;
+    }
+    Ok(config)
+}
+
+/// Every fault of both files.
+pub fn check(env: impl Fn(&str) -> Option<String>, options: Option<&Path>) -> Vec<Fault> {
+    let whole =
+        |file: &Path, message: String| Fault { file: file.into(), line: 1, element: "file".into(), message };
+    let Some(path) = env("RELAY_CONFIG").map(PathBuf::from) else {
+        return vec![whole(Path::new("RELAY_CONFIG"), "not set: it must name the configuration file".into())];
+    };
+    let mut faults = Vec::new();
+    let config = match std::fs::read_to_string(&path) {
+        Err(e) => {
+            faults.push(whole(&path, e.to_string()));
+            None
+        }
+        Ok(text) => parse(&text, env)
+            .map_err(|told| faults.extend(told.iter().map(|message| located(&path, &text, message))))
+            .ok(),
+    };
+    if let Some(path) = options {
+        let read = match &config {
+            Some(config) => read_options(path, config).map(drop),
+            None => options_alone(path).map(drop),
+        };
+        faults.extend(read.err().unwrap_or_default());
+    }
+    faults
+}
+
+fn options_alone(path: &Path) -> Result<Options, Vec<Fault>> {
+    let fault = |line, element: &str, message: String| Fault {
+        file: path.into(),
+        line,
+        element: element.into(),
+        message,
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| vec![fault(1, "file", e.to_string())])?;
+    let ours = |f: birchreach_options::Fault| fault(f.line, &f.element, f.message);
+    birchreach_options::parse(&text).map_err(|faults| faults.into_iter().map(ours).collect())
+}
+
+/// The options, which must not clash with what the platform told.
+fn read_options(path: &Path, config: &Config) -> Result<Options, Vec<Fault>> {
+    let options = options_alone(path)?;
+    let mut others = vec![("listen", config.listen), ("discovery", config.discovery)];
+    others.extend(config.operator.map(|at| ("operator", at)));
+    let taken = options.taken(&others);
+    if taken.is_empty() {
+        return Ok(options);
+    }
+    let ours = |f: birchreach_options::Fault| Fault {
+        file: path.into(),
+        line: f.line,
+        element: f.element,
+        message: f.message,
+    };
+    Err(taken.into_iter().map(ours).collect())
+}
+
+/// Finds where a fault of the JSON stands: its message begins with the path of keys.
+fn located(file: &Path, text: &str, message: &str) -> Fault {
+    let mut element = Vec::new();
+    let mut rest = message;
+    while let Some((key, more)) = rest.split_once(": ").filter(|(key, _)| !key.contains(' ')) {
+        element.push(key);
+        rest = more;
+    }
+    let line_of =
+        |at: usize| 1 + text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count();
+    let line = match serde_json::from_str::<serde::de::IgnoredAny>(text) {
+        Err(e) => e.line(),
+        Ok(_) => place(text, &element.join(".")).map_or(1, line_of),
+    };
+    let element = if element.is_empty() { "file".into() } else { element.join(": ") };
+    Fault { file: file.into(), line, element, message: rest.into() }
+}
+
+/// Where the value of `a.b[2].c` begins, or the last part of the path that is there.
+fn place(text: &str, path: &str) -> Option<usize> {
+    use jsonc_parser::ast::Value as Node;
+    use jsonc_parser::common::Ranged;
+    let ast = jsonc_parser::parse_to_ast(text, &Default::default(), &Default::default()).ok()?;
+    let root = ast.value?;
+    let mut node = &root;
+    for key in path.split(['.', '[']).filter(|key| !key.is_empty()) {
+        let next = match (node, key.strip_suffix(']').and_then(|n| n.parse::<usize>().ok())) {
+            (Node::Array(list), Some(n)) => list.elements.get(n),
+            (Node::Object(object), _) => object.get(key).map(|property| &property.value),
+            _ => None,
+        };
+        match next {
+            Some(next) => node = next,
+            None => break,
+        }
+    }
+    Some(node.range().start)
 }
 
-fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let root: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+/// Each fault begins with the path of its key.
+fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, Vec<String>> {
+    let root: Value = serde_json::from_str(text).map_err(|e| vec![format!("not JSON: {e}")])?;
     let word = |key: &str, variable: &str| match root.get(key) {
         Some(Value::String(word)) => Ok(word.clone()),
         None | Some(Value::Null) => env(variable).ok_or(format!("{key}: absent, and {variable} is not set")),
@@ -81,53 +208,71 @@
         word.parse().map_err(|_| format!("{key}: expected an address and a port, found '{word}'"))
     };
     let operator = match root.get("operator") {
-        None | Some(Value::Null) if env("RELAY_OPERATOR").is_none() => None,
-        _ => Some(address("operator", "RELAY_OPERATOR")?),
+        None | Some(Value::Null) if env("RELAY_OPERATOR").is_none() => Ok(None),
+        _ => address("operator", "RELAY_OPERATOR").map(Some),
     };
     let sockets = match root.get("limits").and_then(|l| l.get("sockets")) {
-        None | Some(Value::Null) => SOCKETS,
-        Some(v) => v.as_u64().filter(|n| *n >= LEAST_SOCKETS).ok_or("limits.sockets: expected 40 or more")?,
+        None | Some(Value::Null) => Ok(SOCKETS),
+        Some(v) => {
+            let enough = v.as_u64().filter(|n| *n >= LEAST_SOCKETS);
+            enough.ok_or_else(|| "limits.sockets: expected 40 or more".to_string())
+        }
     };
     let known = match root.get("known") {
-        None | Some(Value::Null) => None,
-        Some(v) => Some(Update::from_json(v).map_err(|e| format!("known: {e}"))?),
+        None | Some(Value::Null) => Ok(None),
+        Some(v) => Update::from_json(v).map(Some).map_err(|e| format!("known: {e}")),
     };
-    let settings = root.get("settings").ok_or("settings: absent")?;
-    let site = birchreach_settings::from_value(settings)?;
-    sound(&site)?;
-    let part = |key: &str| (key.to_string(), root.get(key).cloned().unwrap_or(Value::Null));
-    Ok(Config {
-        name: word("name", "RELAY_NAME").unwrap_or_else(|_| "proxy".into()),
-        listen: address("listen", "RELAY_LISTEN")?,
-        discovery: address("discovery", "RELAY_DISCOVERY")?,
-        operator,
-        inherited: env("RELAY_INHERITED_FD").and_then(|fd| fd.trim().parse().ok()).filter(|fd| *fd > 2),
-        seed: seed(root.get("seed")),
-        sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
-        known,
-        site,
-        raw: [part("limits"), part("settings")].into_iter().collect(),
-    })
+    let site = match root.get("settings") {
+        None => Err(vec!["settings: absent".to_string()]),
+        Some(settings) => birchreach_settings::all_from_value(settings).and_then(sound),
+    };
+    let (listen, discovery) = (address("listen", "RELAY_LISTEN"), address("discovery", "RELAY_DISCOVERY"));
+    match (operator, sockets, known, site, listen, discovery) {
+        (Ok(operator), Ok(sockets), Ok(known), Ok(site), Ok(listen), Ok(discovery)) => {
+            let part = |key: &str| (key.to_string(), root.get(key).cloned().unwrap_or(Value::Null));
+            Ok(Config {
+                name: word("name", "RELAY_NAME").unwrap_or_else(|_| "proxy".into()),
+                listen,
+                discovery,
+                operator,
+                inherited: env("RELAY_INHERITED_FD")
+                    .and_then(|fd| fd.trim().parse().ok())
+                    .filter(|fd| *fd > 2),
+                seed: seed(root.get("seed")),
+                sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+                known,
+                site,
+                options: Options::default(),
+                raw: [part("limits"), part("settings")].into_iter().collect(),
+            })
+        }
+        (operator, sockets, known, site, listen, discovery) => {
+            let singles = [operator.err(), sockets.err(), known.err()].into_iter().flatten();
+            let last = [listen.err(), discovery.err()].into_iter().flatten();
+            Err(singles.chain(site.err().into_iter().flatten()).chain(last).collect())
+        }
+    }
 }
 
 /// What the settings' form cannot tell: with these, no request could be served.
-fn sound(site: &Site) -> Result<(), String> {
+fn sound(site: Site) -> Result<Site, Vec<String>> {
     let names = &site.class_names;
+    let mut faults = Vec::new();
     if names.is_empty() {
-        return Err("settings: classes: expected one at least".into());
+        faults.push("settings: classes: expected one at least".into());
     }
     for (i, (name, class)) in names.iter().zip(&site.module.classes).enumerate() {
         if name.is_empty() || names[..i].contains(name) {
-            return Err(format!("settings: classes[{i}].name: expected a name of its own"));
+            faults.push(format!("settings: classes[{i}].name: expected a name of its own"));
         }
         if class.deadline <= 0 {
-            return Err(format!("settings: classes[{i}].deadline_ms: expected a positive number"));
+            faults.push(format!("settings: classes[{i}].deadline_ms: expected a positive number"));
         }
     }
     if site.module.max_attempts == 0 {
-        return Err("settings: limits.attempts_cap: expected a positive number".into());
+        faults.push("settings: limits.attempts_cap: expected a positive number".into());
     }
-    Ok(())
+    if faults.is_empty() { Ok(site) } else { Err(faults) }
 }
 
 /// The first key of `old` that `new` lacks, or has as another kind of value. Lists may be of other lengths, but
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,5 +1,7 @@
 //! `birchreach-proxy`: one proxy on real sockets before groups of a primary and its replicas.
 
+mod ask;
+mod cli;
 mod config;
 mod core;
 mod discovery;
@@ -11,12 +13,49 @@
 mod pg;
 mod stats;
 
+use clap::Parser;
+use cli::{Cli, Command};
+use std::io::Write;
+
 fn main() {
-    log::start(log::Format::Logfmt, "info".parse().unwrap_or_default());
-    // Before all else: until they are caught, signals end the process.
-    let signals = net::signals().unwrap_or_else(|message| quit(&message, 1));
-    let config = config::load(config::environment).unwrap_or_else(|message| quit(&message, 2));
-    net::run(config, signals).unwrap_or_else(|message| quit(&message, 1));
+    let Cli { options, log_format, log_filter, command } = Cli::parse();
+    match command {
+        None | Some(Command::Serve) => {
+            log::start(log_format, log_filter);
+            // Before all else: until they are caught, signals end the process.
+            let signals = net::signals().unwrap_or_else(|message| quit(&message, 1));
+            let config = config::load(config::environment, options.as_deref());
+            let config = config.unwrap_or_else(|message| quit(&message, 2));
+            net::run(config, options, signals).unwrap_or_else(|message| quit(&message, 1));
+        }
+        Some(Command::Check(check)) => {
+            let told = |name: &str| match &check.config {
+                Some(path) if name == "RELAY_CONFIG" => path.to_str().map(Into::into),
+                _ => config::environment(name),
+            };
+            let faults = config::check(told, options.as_deref());
+            let lines: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
+            let (code, text) = if faults.is_empty() { (0, "no faults\n".into()) } else { (2, lines) };
+            finish(code, &text);
+        }
+        Some(Command::Health(health)) => {
+            let options = options.map(|path| {
+                let text = std::fs::read_to_string(&path).map_err(|e| e.to_string());
+                let first = |faults: Vec<birchreach_options::Fault>| faults.first().map(ToString::to_string);
+                let read = text
+                    .and_then(|t| birchreach_options::parse(&t).map_err(|f| first(f).unwrap_or_default()));
+                read.unwrap_or_else(|why| quit(&format!("{}: {why}", path.display()), ask::UNREACHED))
+            });
+            let (code, text) = ask::ask(&health, options.as_ref());
+            finish(code, &text);
+        }
+    }
+}
+
+/// Prints and ends; whoever reads no further does not change the verdict.
+fn finish(code: i32, text: &str) -> ! {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    std::process::exit(code)
 }
 
 fn quit(message: &str, code: i32) -> ! {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -25,6 +25,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::io::ErrorKind;
+use std::path::PathBuf;
 use timers::{Clock, Timers};
 use tracing::{info, warn};
 use twin::Twin;
@@ -98,6 +99,8 @@
     door: Door,
     twin: Twin,
     config: Config,
+    /// The options' file, to be read again.
+    options: Option<PathBuf>,
     longest_deadline: Micros,
     stopping: bool,
     left: bool,
@@ -109,7 +112,7 @@
 }
 
 /// Serves until told to stop.
-pub fn run(mut config: Config, mut signals: Signals) -> Result<(), String> {
+pub fn run(mut config: Config, options: Option<PathBuf>, mut signals: Signals) -> Result<(), String> {
     let poll = Poll::new().map_err(|e| format!("no poll: {e}"))?;
     let watched = poll.registry().register(&mut signals, SIGNALS, mio::Interest::READABLE);
     watched.map_err(|e| format!("watching signals: {e}"))?;
@@ -142,6 +145,7 @@
         twin,
         longest_deadline: longest_deadline(&config.site),
         config,
+        options,
         stopping: false,
         left: false,
         poll,
@@ -373,7 +377,9 @@
     /// Reads the configuration again, whole; of one that is bad nothing is taken. Discovery's address,
     /// settings and limits change at once, in all places; the rest with a restart.
     fn reload(&mut self) {
-        let new = match config::load(config::environment).and_then(|new| self.config.succeeds(new)) {
+        let new = match config::load(config::environment, self.options.as_deref())
+            .and_then(|new| self.config.succeeds(new))
+        {
             Ok(new) => new,
             Err(message) => {
                 self.core.stats.load_errors += 1;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,6 +3,7 @@
 
 use birchreach::*;
 use serde_json::Value;
+use std::cell::RefCell;
 
 /// What the module is told, and what its hosts need to know besides.
 #[derive(Clone, Debug, PartialEq)]
@@ -86,97 +87,132 @@
     from_value(&root)
 }
 
-/// Reads the settings from JSON that has been parsed already.
+/// Reads the settings from JSON that has been parsed already; the error is the first fault.
 pub fn from_value(root: &Value) -> Read<Site> {
+    all_from_value(root).map_err(|mut faults| faults.swap_remove(0))
+}
+
+/// The same, with every fault there is.
+pub fn all_from_value(root: &Value) -> Result<Site, Vec<String>> {
+    let faults = Faults::default();
+    let site = site(root, &faults);
+    let faults = faults.0.into_inner();
+    if faults.is_empty() { Ok(site) } else { Err(faults) }
+}
+
+/// What was found wrong; reading goes on with something harmless in its place.
+#[derive(Default)]
+struct Faults(RefCell<Vec<String>>);
+
+impl Faults {
+    fn or<T>(&self, read: Read<T>, instead: T) -> T {
+        read.unwrap_or_else(|fault| {
+            self.0.borrow_mut().push(fault);
+            instead
+        })
+    }
+}
+
+fn site(root: &Value, faults: &Faults) -> Site {
     if !root.is_object() {
-        return bad("info", "an object");
+        faults.or(bad("info", "an object"), ());
     }
-    let num = |key: &str| number(find(root, key), key, None);
-    let num_or_0 = |key: &str| number(find(root, key), key, Some(0.0));
-    let zero_ms = num_or_0("extra.counted_from_ms")?;
-    let tokens = match word(find(root, "extra.tokens"), "extra.tokens", "carried")? {
+    let num = |key: &str| faults.or(number(find(root, key), key, None), 0.0);
+    let num_or_0 = |key: &str| faults.or(number(find(root, key), key, Some(0.0)), 0.0);
+    let flag = |root, key| faults.or(flag(root, key), false);
+    let words = |root, key| faults.or(words(root, key), Vec::new());
+    let list = |key| faults.or(list(root, key), &[][..]);
+    let word = |v, key: &str, absent| faults.or(word(v, key, absent), absent);
+    let zero_ms = num_or_0("extra.counted_from_ms");
+    let tokens = match word(find(root, "extra.tokens"), "extra.tokens", "carried") {
         "carried" => Tokens::Carried,
         "remembered" => Tokens::Remembered,
-        _ => return bad("extra.tokens", "'carried' or 'remembered'"),
+        _ => faults.or(bad("extra.tokens", "'carried' or 'remembered'"), Tokens::Carried),
     };
-    let reads = list(root, "extra.class_read")?;
-    let ages = list(root, "extra.max_age_ms")?;
+    let reads = list("extra.class_read");
+    let ages = list("extra.max_age_ms");
     let mut classes = Vec::new();
     let mut class_names = Vec::new();
-    for (i, class) in list(root, "classes")?.iter().enumerate() {
+    for (i, class) in list("classes").iter().enumerate() {
         let key = |name: &str| format!("classes[{i}].{name}");
-        let num = |name: &str, absent| number(class.get(name), &key(name), absent);
-        let need = match word(reads.get(i), "extra.class_read", "any")? {
+        let num = |name: &str, absent| faults.or(number(class.get(name), &key(name), absent), 0.0);
+        let need = match word(reads.get(i), "extra.class_read", "any") {
             "write" => Need::Write,
             "fresh" => Need::Fresh,
             "session" => Need::Session,
-            "bounded" => Need::Bounded(span(number(ages.get(i), "extra.max_age_ms", None)?)),
+            "bounded" => Need::Bounded(span(faults.or(number(ages.get(i), "extra.max_age_ms", None), 0.0))),
             "any" => Need::Any,
-            _ => return bad("extra.class_read", "write, fresh, session, bounded or any"),
+            _ => faults.or(bad("extra.class_read", "write, fresh, session, bounded or any"), Need::Any),
         };
-        let effect = match word(class.get("idempotency"), &key("idempotency"), "single_shot")? {
+        let effect = match word(class.get("idempotency"), &key("idempotency"), "single_shot") {
             "free" => Effect::Safe,
             "guarded" => Effect::Keyed {
-                scope: match word(class.get("dedup_scope"), &key("dedup_scope"), "cell")? {
+                scope: match word(class.get("dedup_scope"), &key("dedup_scope"), "cell") {
                     "all" => Scope::All,
                     "zone" => Scope::Zone,
                     "cell" => Scope::Group,
-                    _ => return bad(&key("dedup_scope"), "all, zone or cell"),
+                    _ => faults.or(bad(&key("dedup_scope"), "all, zone or cell"), Scope::Group),
                 },
-                window: span(num("repeat_window_ms", None)?),
+                window: span(num("repeat_window_ms", None)),
             },
             "single_shot" => Effect::Unsafe,
-            _ => return bad(&key("idempotency"), "free, guarded or single_shot"),
+            _ => faults.or(bad(&key("idempotency"), "free, guarded or single_shot"), Effect::Unsafe),
         };
-        class_names.push(word(class.get("name"), &key("name"), "")?.to_string());
+        class_names.push(word(class.get("name"), &key("name"), "").to_string());
         classes.push(Class {
             need,
             effect,
-            aim: span(num("goal_time_ms", None)?),
-            deadline: span(num("deadline_ms", None)?),
-            worth: num("credit", None)?,
-            late_worth: num("late_worth", Some(0.0))?,
+            aim: span(num("goal_time_ms", None)),
+            deadline: span(num("deadline_ms", None)),
+            worth: num("credit", None),
+            late_worth: num("late_worth", Some(0.0)),
         });
     }
     let mut tenants = Vec::new();
-    for (i, tenant) in list(root, "parties")?.iter().enumerate() {
+    for (i, tenant) in list("parties").iter().enumerate() {
         let key = format!("parties[{i}].quota_per_s");
-        tenants.push(Tenant { quota_per_s: number(tenant.get("quota_per_s"), &key, None)? });
+        let quota_per_s = faults.or(number(tenant.get("quota_per_s"), &key, None), 0.0);
+        tenants.push(Tenant { quota_per_s });
     }
-    let report_names = words(root, "load_info.names")?;
+    let report_names = words(root, "load_info.names");
     let place = |name: &str| report_names.iter().position(|v| v == name);
-    let reports = match word(find(root, "load_info.via"), "load_info.via", "silent")? {
+    let reports = match word(find(root, "load_info.via"), "load_info.via", "silent") {
         "piggyback" => Reports::Answers,
         "pull" => Reports::Probes,
         "silent" => Reports::Never,
-        _ => return bad("load_info.via", "piggyback, pull or silent"),
+        _ => faults.or(bad("load_info.via", "piggyback, pull or silent"), Reports::Never),
     };
-    let list_mode = match word(find(root, "registry_mode"), "registry_mode", "automatic")? {
+    let list_mode = match word(find(root, "registry_mode"), "registry_mode", "automatic") {
         "automatic" => ListMode::Pushed,
         "subscribe" => ListMode::Asked,
-        _ => return bad("registry_mode", "automatic or subscribe"),
+        _ => faults.or(bad("registry_mode", "automatic or subscribe"), ListMode::Pushed),
     };
-    let checks = match word(find(root, "extra.guards"), "extra.guards", "silent")? {
+    let checks = match word(find(root, "extra.guards"), "extra.guards", "silent") {
         "silent" => Checks::Silent,
         "refuse" | "wait" => Checks::Refuse,
-        _ => return bad("extra.guards", "silent, refuse or wait"),
+        _ => faults.or(bad("extra.guards", "silent, refuse or wait"), Checks::Silent),
     };
     let max_retry_after =
-        if flag(root, "limits.retry_after")? { Some(span(num("limits.max_retry_after_ms")?)) } else { None };
+        if flag(root, "limits.retry_after") { Some(span(num("limits.max_retry_after_ms"))) } else { None };
     let carried = classes.iter().map(|c| c.need == Need::Session && tokens == Tokens::Carried).collect();
     let (report_position, report_role) = (place("x0"), place("x1"));
-    Ok(Site {
+    Site {
         class_names,
-        zones: words(root, "dcs")?,
-        conn_idle: span(number(find(root, "limits.conn_idle_ms"), "limits.conn_idle_ms", Some(30_000.0))?),
+        zones: words(root, "dcs"),
+        conn_idle: span(
+            faults.or(
+                number(find(root, "limits.conn_idle_ms"), "limits.conn_idle_ms", Some(30_000.0)),
+                30_000.0,
+            ),
+        ),
         report_names,
         zero: span(zero_ms),
         carried,
         report_position,
         report_role,
         module: Settings {
-            routers: num("balancers")? as u32,
-            zone: ZoneId(num("my_zone")? as u16),
+            routers: num("balancers") as u32,
+            zone: ZoneId(num("my_zone") as u16),
             classes,
             tenants,
             tokens,
@@ -184,18 +220,18 @@
             list: list_mode,
             reports,
             report_position: report_position.is_some(),
-            max_attempts: num("limits.attempts_cap")? as u16,
-            parallel: flag(root, "limits.parallel_tries")?,
-            may_cancel: flag(root, "limits.may_cancel")?,
-            may_probe: flag(root, "limits.may_probe")?,
+            max_attempts: num("limits.attempts_cap") as u16,
+            parallel: flag(root, "limits.parallel_tries"),
+            may_cancel: flag(root, "limits.may_cancel"),
+            may_probe: flag(root, "limits.may_probe"),
             max_retry_after,
-            connect_timeout: span(num_or_0("limits.connect_timeout_ms")?),
-            drain_grace: span(num("obligations.drain_grace_ms")?),
-            soft_removal: flag(root, "obligations.soft_removal")?,
-            cold_share: num("obligations.cold_share")?,
-            cold_time: span(num("obligations.cold_ms")?),
-            fall_multiple: num("obligations.fall_multiple")?,
-            fall_time: span(num("obligations.fall_ms")?),
+            connect_timeout: span(num_or_0("limits.connect_timeout_ms")),
+            drain_grace: span(num("obligations.drain_grace_ms")),
+            soft_removal: flag(root, "obligations.soft_removal"),
+            cold_share: num("obligations.cold_share"),
+            cold_time: span(num("obligations.cold_ms")),
+            fall_multiple: num("obligations.fall_multiple"),
+            fall_time: span(num("obligations.fall_ms")),
         },
-    })
+    }
 }
