Tell every fault of the settings at once, also those beyond their form

Cause: check stopped at the form's faults, and one test of the command line took a module's name for a level. Change: the settings' reader hands back what it read beside its faults.

--- a/proxy/src/cli.rs
+++ b/proxy/src/cli.rs
@@ -89,6 +89,6 @@
             panic!()
         };
         assert_eq!((health.group, health.timeout, log_format), (Some(3), 2000, Format::Json));
-        assert!(Cli::try_parse_from(["birchreach-proxy", "--log-filter", "loud"]).is_err());
+        assert!(Cli::try_parse_from(["birchreach-proxy", "--log-filter", "birchreach_proxy=loud"]).is_err());
     }
 }
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -224,7 +224,7 @@
     };
     let site = match root.get("settings") {
         None => Err(vec!["settings: absent".to_string()]),
-        Some(settings) => birchreach_settings::all_from_value(settings).and_then(sound),
+        Some(settings) => sound(birchreach_settings::all_from_value(settings)),
     };
     let (listen, discovery) = (address("listen", "RELAY_LISTEN"), address("discovery", "RELAY_DISCOVERY"));
     match (operator, sockets, known, site, listen, discovery) {
@@ -255,22 +255,29 @@
 }
 
 /// What the settings' form cannot tell: with these, no request could be served.
-fn sound(site: Site) -> Result<Site, Vec<String>> {
+fn sound((site, mut faults): (Site, Vec<String>)) -> Result<Site, Vec<String>> {
     let names = &site.class_names;
-    let mut faults = Vec::new();
+    let told = faults.clone();
+    // What could not be read is not told of a second time.
+    let mut fault = |key: &str, wanted: &str| {
+        let key = format!("settings: {key}: ");
+        if !told.iter().any(|fault| fault.starts_with(&key)) {
+            faults.push(format!("{key}expected {wanted}"));
+        }
+    };
     if names.is_empty() {
-        faults.push("settings: classes: expected one at least".into());
+        fault("classes", "one at least");
     }
     for (i, (name, class)) in names.iter().zip(&site.module.classes).enumerate() {
         if name.is_empty() || names[..i].contains(name) {
-            faults.push(format!("settings: classes[{i}].name: expected a name of its own"));
+            fault(&format!("classes[{i}].name"), "a name of its own");
         }
         if class.deadline <= 0 {
-            faults.push(format!("settings: classes[{i}].deadline_ms: expected a positive number"));
+            fault(&format!("classes[{i}].deadline_ms"), "a positive number");
         }
     }
     if site.module.max_attempts == 0 {
-        faults.push("settings: limits.attempts_cap: expected a positive number".into());
+        fault("limits.attempts_cap", "a positive number");
     }
     if faults.is_empty() { Ok(site) } else { Err(faults) }
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -89,15 +89,15 @@
 
 /// Reads the settings from JSON that has been parsed already; the error is the first fault.
 pub fn from_value(root: &Value) -> Read<Site> {
-    all_from_value(root).map_err(|mut faults| faults.swap_remove(0))
+    let (site, faults) = all_from_value(root);
+    faults.into_iter().next().map_or(Ok(site), Err)
 }
 
-/// The same, with every fault there is.
-pub fn all_from_value(root: &Value) -> Result<Site, Vec<String>> {
+/// The same, with every fault there is; something harmless stands in the site where one was.
+pub fn all_from_value(root: &Value) -> (Site, Vec<String>) {
     let faults = Faults::default();
     let site = site(root, &faults);
-    let faults = faults.0.into_inner();
-    if faults.is_empty() { Ok(site) } else { Err(faults) }
+    (site, faults.0.into_inner())
 }
 
 /// What was found wrong; reading goes on with something harmless in its place.
