--- a/health/src/evidence.rs
+++ b/health/src/evidence.rs
@@ -27,7 +27,8 @@
 pub(crate) struct Evidence {
     pub group: Group,
     pub up: bool,
-    pub listed_primary: bool,
+    /// The list says that it is the primary, or is not.
+    pub listed: Option<bool>,
     /// What it last said it is, and when.
     pub role: Option<(Role, Micros)>,
     pub heard: Option<Micros>,
@@ -53,7 +54,7 @@
         Evidence {
             group,
             up: true,
-            listed_primary: false,
+            listed: None,
             role: None,
             heard: None,
             owes: false,
--- a/health/src/monitor.rs
+++ b/health/src/monitor.rs
@@ -40,8 +40,9 @@
 /// What happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fact {
-    /// The list has a server, or says something else of it. `up`: it takes new work.
-    Listed { server: Server, group: Group, primary: bool, up: bool },
+    /// The list has a server, or says something else of it. `primary`: what it says of its role, if it does; `up`: it
+    /// takes new work.
+    Listed { server: Server, group: Group, primary: Option<bool>, up: bool },
     /// The list has it no more.
     Unlisted { server: Server },
     /// Discovery was heard.
@@ -323,7 +324,7 @@
         self.by((self.stepped + 10_000).max(now));
     }
 
-    fn list(&mut self, now: Micros, server: Server, group: Group, primary: bool, up: bool) {
+    fn list(&mut self, now: Micros, server: Server, group: Group, primary: Option<bool>, up: bool) {
         self.listed = true;
         self.by(now);
         let moves = self.servers.get(&server).is_none_or(|w| w.evidence.group != group);
@@ -339,7 +340,7 @@
             self.groups.entry(group).or_insert_with(|| Members::new(now)).ids.push(server);
         }
         if let Some(watched) = self.servers.get_mut(&server) {
-            (watched.evidence.listed_primary, watched.evidence.up) = (primary, up);
+            (watched.evidence.listed, watched.evidence.up) = (primary, up);
         }
     }
 
@@ -554,7 +555,7 @@
             let e = &watched.evidence;
             let leading = match members.proof {
                 Some((proven, _)) => proven == server,
-                None => e.listed_primary,
+                None => e.listed == Some(true),
             };
             let suspect = e.is_gone() || e.silence(now) >= probing.suspect;
             let searching = !members.write.able;
@@ -632,7 +633,9 @@
     if let Some(reason) = members.distrust {
         return (false, reason);
     }
-    match members.working(servers).find(|e| e.listed_primary) {
+    match members.working(servers).find(|e| e.listed == Some(true)) {
+        // A list that tells no roles claims nothing, but does not deny it either.
+        None if members.working(servers).any(|e| e.listed.is_none()) => unproven,
         None => (false, Reason::NoPrimary),
         Some(e) => match against(now, e, s) {
             Some(reason) => (false, reason),
--- a/health/src/verdict.rs
+++ b/health/src/verdict.rs
@@ -176,7 +176,7 @@
     /// Requests without an attempt out.
     pub held: usize,
     pub in_progress: usize,
-    /// New clients that find a place, at least.
+    /// Places for clients.
     pub room: usize,
     /// Facts left out because a table was full.
     pub ignored: u64,
--- a/health/tests/cases.rs
+++ b/health/tests/cases.rs
@@ -21,7 +21,7 @@
     let mut p = Proxy { now: 100 * S, monitor: Monitor::new(settings, 100 * S) };
     for g in 0..groups {
         for (n, primary) in [(g * 10, true), (g * 10 + 1, false)] {
-            p.tell(Fact::Listed { server: Server(n), group: Group(g), primary, up: true });
+            p.tell(Fact::Listed { server: Server(n), group: Group(g), primary: Some(primary), up: true });
         }
     }
     p
@@ -109,8 +109,8 @@
     assert!(p.gets("/ready").contains("x-envoy-degraded: true"));
     // The list comes to name another one, seconds late.
     p.pass(4 * S, |_| None);
-    p.tell(Fact::Listed { server: Server(0), group: Group(0), primary: false, up: true });
-    p.tell(Fact::Listed { server: Server(1), group: Group(0), primary: true, up: true });
+    p.tell(Fact::Listed { server: Server(0), group: Group(0), primary: Some(false), up: true });
+    p.tell(Fact::Listed { server: Server(1), group: Group(0), primary: Some(true), up: true });
     p.pass(20 * S, |_| None);
     assert_eq!(p.asks("group=0 write"), "ready down #primary-silent\n");
     p.sent(1);
--- a/health/tests/fleet.rs
+++ b/health/tests/fleet.rs
@@ -21,7 +21,7 @@
         let monitors = (0..PROXIES).map(|_| {
             let mut monitor = Monitor::new(Settings::default(), 0);
             let (server, group) = (Server(0), Group(0));
-            monitor.fact(0, Fact::Listed { server, group, primary: true, up: true });
+            monitor.fact(0, Fact::Listed { server, group, primary: Some(true), up: true });
             monitor.step(0);
             monitor
         });
@@ -139,7 +139,7 @@
     for seed in 0..200 {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut monitor = Monitor::new(settings.clone(), 0);
-        monitor.fact(0, Fact::Listed { server: Server(0), group: Group(0), primary: true, up: true });
+        monitor.fact(0, Fact::Listed { server: Server(0), group: Group(0), primary: Some(true), up: true });
         let (mut now, mut last) = (0, 100.0);
         for _ in 0..200 {
             let span = rng.i64(1_000..2_000_000);
--- a/health/tests/histories.rs
+++ b/health/tests/histories.rs
@@ -78,7 +78,7 @@
     fn list(&mut self, n: u32, group: u32, primary: bool, up: bool) {
         let noted = self.servers.entry(n).or_default();
         (noted.group, noted.primary, noted.up) = (group, primary, up);
-        self.tell(Fact::Listed { server: Server(n), group: Group(group), primary, up });
+        self.tell(Fact::Listed { server: Server(n), group: Group(group), primary: Some(primary), up });
     }
 
     fn tell(&mut self, fact: Fact) {
--- a/options/src/lib.rs
+++ b/options/src/lib.rs
@@ -180,7 +180,7 @@
         let mut door = Door {
             listen: self.value(node, "listen")?,
             line: self.doc.node_line(node),
-            callers: 256,
+            callers: 64,
             silent: 2_000_000,
         };
         self.number(node, "callers", &mut door.callers);
@@ -275,20 +275,33 @@
 }
 
 impl Options {
+    /// Descriptors that are to be kept for what is switched on here: callers and listeners.
+    pub fn descriptors(&self) -> usize {
+        self.doors().map(|(_, door)| door.callers + 1).sum()
+    }
+
+    fn doors(&self) -> impl Iterator<Item = (&'static str, &Door)> {
+        let http = self.health.as_ref().and_then(|h| h.http.as_ref()).map(|http| ("http", &http.door));
+        let agent = self.health.as_ref().and_then(|h| h.agent.as_ref()).map(|agent| ("agent", &agent.door));
+        http.into_iter().chain(agent)
+    }
+
+    /// More descriptors than may be spared of so many.
+    pub fn too_many(&self, sockets: usize) -> Option<Fault> {
+        let (wanted, most) = (self.descriptors(), sockets / 2);
+        let (element, door) = self.doors().max_by_key(|(_, door)| door.callers).filter(|_| wanted > most)?;
+        let message = format!("callers: {wanted} descriptors for checks are more than half of {sockets}");
+        Some(Fault { line: door.line, element: element.into(), message })
+    }
+
     /// Addresses here that something else in the process uses already.
     pub fn taken(&self, others: &[(&str, SocketAddr)]) -> Vec<Fault> {
-        let Some(health) = &self.health else { return Vec::new() };
-        let doors = [
-            ("http", health.http.as_ref().map(|h| &h.door)),
-            ("agent", health.agent.as_ref().map(|a| &a.door)),
-        ];
-        let doors = doors.into_iter().filter_map(|(element, door)| Some((element, door?)));
         let clash = |(element, door): (&str, &Door)| {
             let (name, _) = others.iter().find(|(_, at)| meet(*at, door.listen))?;
             let message = format!("listen: {} is used as {name} already", door.listen);
             Some(Fault { line: door.line, element: element.into(), message })
         };
-        doors.filter_map(clash).collect()
+        self.doors().filter_map(clash).collect()
     }
 }
 
--- a/options/tests/faults.rs
+++ b/options/tests/faults.rs
@@ -10,7 +10,7 @@
     let options = parse(EXAMPLE).unwrap();
     let health = options.health.unwrap();
     assert_eq!(health.settings, Settings { probes: Some(Probing::default()), ..Settings::default() });
-    assert_eq!((health.http.unwrap().door.callers, health.lead), (256, 3_000_000));
+    assert_eq!((health.http.unwrap().door.callers, health.lead), (64, 3_000_000));
     // What is left out is what it says.
     let short = "<birchreach-options><health><http listen='127.0.0.1:7081'/></health></birchreach-options>";
     let short = parse(short).unwrap().health.unwrap();
@@ -31,7 +31,7 @@
         ("every-ms=\"5000\"", "each-ms=\"5000\"", 12, "probes", "each-ms"),
         ("every-ms=\"5000\"", "every-ms=\"often\"", 12, "probes", "often"),
         ("every-ms=\"5000\"", "every-ms=\"9\"", 12, "probes", "9"),
-        ("callers=\"256\"", "callers=\"2\"", 6, "http", "2"),
+        ("callers=\"64\"", "callers=\"2\"", 6, "http", "2"),
         ("idle=\"trust\"", "idle=\"maybe\"", 8, "claims", "maybe"),
         ("127.0.0.1:7081", "localhost:7081", 6, "http", "localhost"),
         ("127.0.0.1:7081", "127.0.0.1:70810", 6, "http", "listen"),
@@ -50,7 +50,7 @@
         let start = format!("line {line}: {element}");
         assert!(faults.iter().any(|f| f.starts_with(&start) && f.contains(says)), "{new}: {faults:?}");
     }
-    let two = EXAMPLE.replace("callers=\"256\"", "callers=\"2\"");
+    let two = EXAMPLE.replace("callers=\"64\"", "callers=\"2\"");
     assert_eq!(parse(&two).unwrap_err().len(), 2, "all of them come out");
 }
 
--- a/proxy/src/ask.rs
+++ b/proxy/src/ask.rs
@@ -94,7 +94,7 @@
         let heard = span(&told["discovery_ms"]);
         let _ = writeln!(
             out,
-            "pressure {}, {} in progress ({} held), room for {} clients, discovery heard {heard} ago",
+            "pressure {}, {} in progress ({} held), places for {} clients, discovery heard {heard} ago",
             word(told, "pressure"),
             word(told, "in_progress"),
             word(told, "held"),
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -143,7 +143,8 @@
     let options = options_alone(path)?;
     let mut others = vec![("listen", config.listen), ("discovery", config.discovery)];
     others.extend(config.operator.map(|at| ("operator", at)));
-    let taken = options.taken(&others);
+    let mut taken = options.taken(&others);
+    taken.extend(options.too_many(config.sockets));
     if taken.is_empty() {
         return Ok(options);
     }
--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -4,6 +4,7 @@
 
 use crate::config::hash;
 use crate::discovery::{State, Update};
+use crate::health::Watch;
 use crate::stats::{End, Gauges, Stats};
 use birchreach::*;
 use birchreach_settings::Site;
@@ -54,12 +55,19 @@
     pub value: Option<Value>,
     pub note: Option<Note>,
     pub report: Option<Report>,
+    /// No process listened there.
+    pub refused: bool,
 }
 
 impl Reply {
     /// An ending of which the database said nothing.
     pub fn bare(ending: Ending) -> Reply {
-        Reply { ending, value: None, note: None, report: None }
+        Reply { ending, value: None, note: None, report: None, refused: false }
+    }
+
+    /// No process listens there.
+    pub fn refused() -> Reply {
+        Reply { refused: true, ..Reply::bare(Ending::ConnectFailed) }
     }
 }
 
@@ -118,8 +126,12 @@
 struct Entry<W> {
     client: usize,
     class: ClassId,
+    group: GroupId,
     work: W,
     attempts: u16,
+    /// Attempts that are out, and since when there was none.
+    out: u16,
+    idle_since: Micros,
     /// The attempt whose value is going on in pieces.
     passing: Option<Attempt>,
 }
@@ -153,6 +165,8 @@
     named: u32,
     last_id: u64,
     pub stats: Stats,
+    /// What balancers are told, where they are told anything.
+    pub watch: Option<Watch>,
     /// The classes by number, with those that are no more while requests of them may be open.
     kinds: Vec<Kind>,
     /// The module's settings but for its classes, and how many processes share them with this one.
@@ -167,6 +181,8 @@
     uid: String,
     address: Option<SocketAddr>,
     group: GroupId,
+    primary: Option<bool>,
+    up: bool,
     removed: bool,
 }
 
@@ -191,6 +207,7 @@
         let mut core = Core {
             router,
             stats,
+            watch: None,
             kinds,
             module: site.module.clone(),
             processes: 1,
@@ -268,6 +285,11 @@
         self.module.tokens
     }
 
+    /// Attempts that owe an outcome.
+    pub fn attempts_out(&self) -> usize {
+        self.out.len()
+    }
+
     pub fn open_requests(&self) -> usize {
         self.requests.len()
     }
@@ -305,19 +327,28 @@
                     let Some(entry) = self.requests.get_mut(&request) else { continue };
                     let attempt = (request, AttemptNo(entry.attempts));
                     entry.attempts += 1;
+                    entry.out += 1;
+                    if let Some(watch) = &mut self.watch {
+                        watch.sent(now, server);
+                    }
                     self.out.insert(attempt, Out { server, class: entry.class, sent: now });
                     let (work, until) = (entry.work.clone(), now + patience);
                     self.commands.push_back(Command::Start { attempt, server, work, until });
                 }
                 Action::Refuse { request, retry_after } => {
                     let come_back_ms = retry_after.and_then(|t| u64::try_from(t / 1000).ok());
-                    self.answer(request, Answer::Refused { come_back_ms });
+                    self.answer(now, request, Answer::Refused { come_back_ms });
                 }
-                Action::Fail { request } => self.answer(request, Answer::Failed),
+                Action::Fail { request } => self.answer(now, request, Answer::Failed),
                 Action::Cancel { request, attempt } => {
                     self.commands.push_back(Command::Stop { attempt: (request, attempt) });
                 }
-                Action::Probe { server } => self.commands.push_back(Command::Probe { server }),
+                Action::Probe { server } => {
+                    if let Some(watch) = &mut self.watch {
+                        watch.sent(now, server);
+                    }
+                    self.commands.push_back(Command::Probe { server });
+                }
                 // Never at once: what the module does when woken must not wake it again without end.
                 Action::Timer { id, after } => {
                     self.commands.push_back(Command::Wake { id, at: now + after.max(1) });
@@ -331,20 +362,29 @@
         }
     }
 
-    fn ended(&mut self, class: ClassId, end: End) {
-        if let Some(kind) = self.kinds.get(usize::from(class.0)) {
+    fn ended(&mut self, now: Micros, entry: &Entry<W>, end: End) {
+        if let Some(kind) = self.kinds.get(usize::from(entry.class.0)) {
             self.stats.ended(kind.row, end);
         }
+        let write = self.writes(entry.class);
+        if let Some(watch) = self.watch.as_mut().filter(|_| !write) {
+            watch.read(now, entry.group, end == End::Served);
+        }
     }
 
-    fn answer(&mut self, request: RequestId, answer: Answer) {
+    /// Requests of this class go to the primary alone.
+    fn writes(&self, class: ClassId) -> bool {
+        self.kinds.get(usize::from(class.0)).is_some_and(|kind| kind.rules.need == Need::Write)
+    }
+
+    fn answer(&mut self, now: Micros, request: RequestId, answer: Answer) {
         if let Some(entry) = self.requests.remove(&request) {
             let end = match answer {
                 Answer::Served(_) | Answer::Passed => End::Served,
                 Answer::Refused { .. } => End::Refused,
                 Answer::Failed => End::Failed,
             };
-            self.ended(entry.class, end);
+            self.ended(now, &entry, end);
             self.commands.push_back(Command::Answer { client: entry.client, request, answer });
         }
     }
@@ -353,7 +393,9 @@
     pub fn request(&mut self, now: Micros, client: usize, ask: Ask, work: W) -> RequestId {
         self.last_id += 1;
         let id = RequestId(self.last_id);
-        self.requests.insert(id, Entry { client, class: ask.class, work, attempts: 0, passing: None });
+        let (class, group) = (ask.class, ask.group);
+        let entry = Entry { client, class, group, work, attempts: 0, out: 0, idle_since: now, passing: None };
+        self.requests.insert(id, entry);
         let request = Request {
             id,
             class: ask.class,
@@ -388,6 +430,10 @@
         };
         entry.passing = Some(attempt);
         self.commands.push_back(Command::Begin { client: entry.client, request, attempt, length });
+        let server = self.out.get(&attempt).map(|out| out.server);
+        if let (Some(watch), Some(server)) = (&mut self.watch, server) {
+            watch.alive(now, server);
+        }
         self.handle(now, Event::Started { request, attempt: attempt.1 });
         true
     }
@@ -402,22 +448,32 @@
 
     /// An attempt's one outcome.
     pub fn outcome(&mut self, now: Micros, attempt: Attempt, reply: Reply) {
-        let Some(Out { server, sent, .. }) = self.out.remove(&attempt) else { return };
+        let Some(Out { server, sent, class }) = self.out.remove(&attempt) else { return };
         let (request, number) = attempt;
+        let write = self.writes(class);
+        if let Some(watch) = &mut self.watch {
+            watch.ended(now, server, write, &reply, now - sent);
+        }
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.out = entry.out.saturating_sub(1);
+            if entry.out == 0 {
+                entry.idle_since = now;
+            }
+        }
         match self.requests.get(&request).map(|entry| (entry.passing, entry.client)) {
             Some((Some(passing), _)) if passing == attempt && reply.ending == Ending::Ok => {
-                self.answer(request, Answer::Passed);
+                self.answer(now, request, Answer::Passed);
             }
             // What has gone on cannot be taken back, nor sent again: only broken off, for all to see.
             Some((Some(passing), client)) if passing == attempt => {
                 if let Some(entry) = self.requests.remove(&request) {
-                    self.ended(entry.class, End::Failed);
+                    self.ended(now, &entry, End::Failed);
                 }
                 self.commands.push_back(Command::Break { client, request });
             }
             Some((None, _)) => {
                 if let Some(value) = reply.value.filter(|_| reply.ending == Ending::Ok) {
-                    self.answer(request, Answer::Served(value));
+                    self.answer(now, request, Answer::Served(value));
                 }
             }
             _ => {}
@@ -435,8 +491,38 @@
         self.handle(now, Event::Outcome(outcome));
     }
 
-    pub fn probed(&mut self, now: Micros, server: ServerId, ending: Ending, report: Option<Report>) {
-        self.handle(now, Event::Probed { server, ending, report: credible(report, now) });
+    pub fn probed(&mut self, now: Micros, server: ServerId, reply: &Reply) {
+        if let Some(watch) = &mut self.watch {
+            watch.ended(now, server, false, reply, 0);
+        }
+        let report = credible(reply.report, now);
+        self.handle(now, Event::Probed { server, ending: reply.ending, report });
+    }
+
+    /// A probe came back that was sent for the balancers' sake; the decisions did not ask for it.
+    pub fn checked(&mut self, now: Micros, server: ServerId, reply: &Reply) {
+        if let Some(watch) = &mut self.watch {
+            watch.checked(now, server, reply);
+        }
+    }
+
+    /// A connection came up: its server lives.
+    pub fn alive(&mut self, now: Micros, server: ServerId) {
+        if let Some(watch) = &mut self.watch {
+            watch.alive(now, server);
+        }
+    }
+
+    /// Looks how long writes have been without an attempt out, and how many requests are.
+    pub fn look_at_held(&mut self, now: Micros) -> usize {
+        let idle = self.requests.values().filter(|e| e.out == 0);
+        let held = idle.clone().count();
+        let writes =
+            idle.filter(|e| self.writes(e.class)).map(|e| (e.group, e.idle_since)).collect::<Vec<_>>();
+        if let Some(watch) = &mut self.watch {
+            watch.held(now, writes.into_iter());
+        }
+        held
     }
 
     pub fn timer(&mut self, now: Micros, id: u32) {
@@ -447,6 +533,7 @@
     pub fn members(&mut self, now: Micros, update: Update) -> Vec<ServerId> {
         let mut moved = Vec::new();
         let mut members = Vec::new();
+        let mut told = Vec::new();
         if update.all {
             // Whom a whole list does not name has left.
             self.servers.values_mut().for_each(|s| s.removed = true);
@@ -465,14 +552,17 @@
                 uid: t.uid,
                 address: None,
                 group,
+                primary: None,
+                up: false,
                 removed: false,
             });
-            listed.group = group;
+            (listed.group, listed.primary, listed.up) = (group, t.primary, t.state == State::Up);
             listed.removed = t.state == State::Removed;
             if listed.address != address || t.state == State::Removed {
                 moved.push(server);
                 listed.address = address.or(listed.address);
             }
+            told.push((server, group, t.primary, t.state));
             let zone = self.zones.iter().position(|z| *z == t.zone);
             members.push(Member {
                 server,
@@ -488,9 +578,16 @@
                     .filter(|ms| *ms > 0)
                     .and_then(|ms| ms.checked_mul(1000)),
                 weight: t.weight,
-                primary: t.primary,
+                primary: t.primary == Some(true),
             });
         }
+        if let Some(watch) = &mut self.watch {
+            for (server, group, primary, state) in told.iter().filter(|t| t.3 != State::Removed) {
+                watch.listed(now, *server, *group, *primary, *state == State::Up);
+            }
+            let left = self.servers.iter().filter(|(_, s)| s.removed);
+            left.for_each(|(id, _)| watch.unlisted(now, *id));
+        }
         self.handle(now, Event::Members(Members { complete: update.all, members }));
         // Servers that left long ago are forgotten here when the module has forgotten them.
         let router = &self.router;
@@ -500,6 +597,16 @@
     }
 }
 
+impl<W: Clone> Core<W> {
+    /// Balancers are told from now on, and first of what the list said so far.
+    pub fn watch(&mut self, now: Micros, mut watch: Watch) {
+        for (id, s) in self.servers.iter().filter(|(_, s)| !s.removed) {
+            watch.listed(now, *id, s.group, s.primary, s.up);
+        }
+        self.watch = Some(watch);
+    }
+}
+
 /// A position that is yet to come is none, and a report that names one is spoilt.
 fn credible(report: Option<Report>, now: Micros) -> Option<Report> {
     report.filter(|r| r.position.is_none_or(|at| at <= now + SKEW))
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -30,7 +30,8 @@
     pub weight: f64,
     /// Unix time of the last start; 0 if that was long ago.
     pub boot_ms: u64,
-    pub primary: bool,
+    /// What the list says of its role, if it does.
+    pub primary: Option<bool>,
 }
 
 /// An answer: changes, or the whole list.
@@ -70,7 +71,7 @@
             state,
             weight: v.get("capacity_hint").and_then(Value::as_f64).unwrap_or(1.0),
             boot_ms: v.get("boot_ms").and_then(Value::as_f64).map_or(0, |ms| ms as u64),
-            primary: word("access") == Some("writer"),
+            primary: word("access").map(|access| access == "writer"),
             uid,
         })
     }
--- a/proxy/src/net/agent.rs
+++ b/proxy/src/net/agent.rs
@@ -1,12 +1,14 @@
 //! The connection to discovery's agent, on which the watch is kept up.
 
+use super::Due;
 use super::pool::Cx;
+use super::sources::Source;
 use super::stream;
-use super::{AGENT, Due};
 use crate::discovery::{Broken, HOLD_MS, Pace, Update, Watch};
 use crate::log::Quoted;
 use crate::outbox::Outbox;
 use birchreach::Micros;
+use birchreach_health::Fact;
 use mio::Interest;
 use mio::net::TcpStream;
 use std::net::SocketAddr;
@@ -68,7 +70,11 @@
         if self.stream.is_none() {
             self.out = Outbox::default();
             let opened = TcpStream::connect(self.address).and_then(|mut stream| {
-                cx.registry.register(&mut stream, AGENT, Interest::READABLE | Interest::WRITABLE)?;
+                cx.registry.register(
+                    &mut stream,
+                    Source::Discovery.token(),
+                    Interest::READABLE | Interest::WRITABLE,
+                )?;
                 Ok(stream)
             });
             match opened {
@@ -147,6 +153,9 @@
             Ok(None) => {}
             Ok(Some(news)) => {
                 self.pace.answered();
+                if let Some(watch) = &mut cx.core.watch {
+                    watch.monitor.fact(cx.now, Fact::Discovery);
+                }
                 if ended.is_err() {
                     self.failed(cx, "closed");
                 } else if cx.now - self.called_at < TOO_SOON
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -1,8 +1,9 @@
 //! The listener and the clients' connections.
 
+use super::Due;
 use super::pool::{Cx, Work};
+use super::sources::Source;
 use super::stream::{self, Ended};
-use super::{CLIENTS, Due, LISTENER, STEP};
 use crate::core::{Answer, Ask, Attempt};
 use crate::log::Quoted;
 use crate::pg::frontend::{Frontend, Wish};
@@ -10,7 +11,7 @@
 use crate::pg::statement::Statement;
 use birchreach::{Micros, RequestId};
 use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Registry, Token};
+use mio::{Interest, Registry};
 use slab::Slab;
 use std::collections::HashSet;
 use std::fs::File;
@@ -148,7 +149,7 @@
 
 impl Clients {
     pub fn new(registry: &Registry, mut listener: TcpListener, most: usize) -> Result<Clients, String> {
-        let registered = registry.register(&mut listener, LISTENER, Interest::READABLE);
+        let registered = registry.register(&mut listener, Source::Listener.token(), Interest::READABLE);
         registered.map_err(|e| format!("watching the listener: {e}"))?;
         Ok(Clients {
             listener: Some(listener),
@@ -282,7 +283,7 @@
         let _ = stream.set_nodelay(true);
         let slot = self.slots.vacant_entry();
         let key = slot.key();
-        let token = Token(CLIENTS + key * STEP);
+        let token = Source::Client(key).token();
         if let Err(e) = cx.registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE) {
             warn!(conn = "client", %peer, reason = "no-socket", error = %Quoted(e));
             return None;
--- a/proxy/src/net/door.rs
+++ b/proxy/src/net/door.rs
@@ -2,12 +2,12 @@
 //! room for those who speak.
 
 use super::pool::Cx;
+use super::sources::Source;
 use super::stream;
-use super::{CALLERS, DOOR, STEP};
 use crate::operator::{Call, Caller};
 use birchreach::Micros;
 use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Registry, Token};
+use mio::{Interest, Registry};
 use slab::Slab;
 use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr};
@@ -40,7 +40,7 @@
         if let Some(address) = address {
             let bound = TcpListener::bind(address);
             let mut listener = bound.map_err(|e| format!("listening for operators on {address}: {e}"))?;
-            let registered = registry.register(&mut listener, DOOR, Interest::READABLE);
+            let registered = registry.register(&mut listener, Source::Door.token(), Interest::READABLE);
             registered.map_err(|e| format!("watching {address}: {e}"))?;
             door.listener = Some(listener);
         }
@@ -70,7 +70,7 @@
                         oldest.into_iter().for_each(|key| self.close(cx, key, "shed"));
                     }
                     let slot = self.slots.vacant_entry();
-                    let token = Token(CALLERS + slot.key() * STEP);
+                    let token = Source::Operator(slot.key()).token();
                     let wanted = Interest::READABLE | Interest::WRITABLE;
                     if cx.registry.register(&mut stream, token, wanted).is_ok() {
                         slot.insert(Open { stream, machine: Caller::default(), since: cx.now });
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -2,10 +2,12 @@
 //! done, and what waits is written. One thread, one clock.
 
 mod agent;
+mod checks;
 mod clients;
 mod door;
 mod listener;
 mod pool;
+mod sources;
 mod stream;
 mod timers;
 mod twin;
@@ -13,37 +15,28 @@
 use crate::config::{self, Config};
 use crate::core::{Attempt, Command, Core, Line};
 use crate::discovery::Update;
+use crate::health::{self, Watch};
 use crate::log::Quoted;
 use crate::operator::Call;
 use agent::Agent;
-use birchreach::Micros;
+use birchreach::{Micros, ServerId};
+use birchreach_health::{Change, Fact};
 use birchreach_settings::Site;
+use checks::Checks;
 use clients::Clients;
 use door::Door;
-use mio::{Events, Poll, Token};
+use mio::{Events, Poll};
 use pool::{Cx, Pool, Work};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
+use sources::Source;
 use std::io::ErrorKind;
 use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
 use timers::{Clock, Timers};
 use tracing::{info, warn};
 use twin::Twin;
 
-const LISTENER: Token = Token(0);
-const SIGNALS: Token = Token(1);
-const AGENT: Token = Token(2);
-const DOOR: Token = Token(3);
-/// Where the next process meets this one, and the links to the one before and the one after.
-const HEIRS: Token = Token(4);
-const ELDER: Token = Token(5);
-const HEIR: Token = Token(6);
-/// Clients, databases and operators take turns behind these: place k of a slab has token first + k * STEP.
-const CLIENTS: usize = 7;
-const BACKENDS: usize = 8;
-const CALLERS: usize = 9;
-const STEP: usize = 3;
-
 /// What a timer was set for.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
@@ -56,6 +49,16 @@
     AgentCall(u64),
     AgentSilent(u64),
     Sweep,
+    /// A balancer has had its time to ask for something.
+    Asked(usize, u64),
+    /// What balancers are told may change; and the load is to be told.
+    Health,
+    HealthTick,
+    /// This process yields to the next; this one may listen for checks, for the one before has yielded.
+    Yield,
+    Checks,
+    /// Draining has been told for long enough.
+    Depart,
     Leave,
     Exit,
 }
@@ -70,14 +73,22 @@
 /// Where another process has the listener too, nobody new arrives here: idle clients have this time to ask once
 /// more, for an answer and the end behind it cross with no request.
 const HANDOVER: Micros = 600_000;
+/// How often the monitor is told of the load.
+const HEALTH_TICK: Micros = 250_000;
+/// One process yields to the next so long after it said so: the word has arrived by then, and both act at one instant.
+const YIELD: Micros = 20_000;
+/// One that replaces another waits so long for that word; an older program does not say it.
+const NO_WORD: Micros = 1_000_000;
+/// It listens for checks a little before it answers them, so that nobody finds the address closed.
+const EARLY: Micros = 10_000;
 /// Beyond the longest deadline, clients have gone: nothing more is owed to anyone.
 const LAST_CALL: Micros = 1_500_000;
 
 /// How many descriptors clients and databases of this process may hold: all but its own; half of that while
 /// another process is there; and while that one is leaving, all but what it still holds.
-fn places(sockets: usize, twin: &Twin) -> (usize, usize) {
+fn places(sockets: usize, checks: usize, twin: &Twin) -> (usize, usize) {
     let processes = twin.processes() as usize;
-    let free = sockets.saturating_sub(OWN_SOCKETS * processes);
+    let free = sockets.saturating_sub((OWN_SOCKETS + checks) * processes);
     let free = twin.left_over().map_or(free / processes, |held| free.saturating_sub(held)).max(LEAST_PLACES);
     (free - free / 2, free / 2)
 }
@@ -86,6 +97,21 @@
     site.module.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
 }
 
+/// What balancers are told, as far as the loop has to do with it.
+#[derive(Default)]
+struct HealthTimes {
+    /// When the timer that is set goes off, if one is.
+    timer: Option<Micros>,
+    ticking: bool,
+    ticked: Micros,
+    /// How long the loop has slept since.
+    slept: Micros,
+    /// This process has told the next when it yields; it was told when the one before does.
+    yielding: bool,
+    ready_at: Micros,
+    yields_heard: bool,
+}
+
 struct Proxy {
     poll: Poll,
     clock: Clock,
@@ -97,12 +123,15 @@
     pool: Pool,
     agent: Agent,
     door: Door,
+    checks: Checks,
+    health: HealthTimes,
     twin: Twin,
     config: Config,
     /// The options' file, to be read again.
     options: Option<PathBuf>,
     longest_deadline: Micros,
     stopping: bool,
+    departed: bool,
     left: bool,
 }
 
@@ -114,7 +143,7 @@
 /// Serves until told to stop.
 pub fn run(mut config: Config, options: Option<PathBuf>, mut signals: Signals) -> Result<(), String> {
     let poll = Poll::new().map_err(|e| format!("no poll: {e}"))?;
-    let watched = poll.registry().register(&mut signals, SIGNALS, mio::Interest::READABLE);
+    let watched = poll.registry().register(&mut signals, Source::Signals.token(), mio::Interest::READABLE);
     watched.map_err(|e| format!("watching signals: {e}"))?;
     let clock = Clock::new();
     let now = clock.now();
@@ -124,7 +153,8 @@
     // Only one that shares its listener can have another process beside it.
     let shared = config.inherited.is_some();
     let twin = if shared { Twin::meet(poll.registry(), listen) } else { Twin::default() };
-    let (for_clients, for_databases) = places(config.sockets, &twin);
+    let reserve = config.options.descriptors();
+    let (for_clients, for_databases) = places(config.sockets, reserve, &twin);
     let clients = Clients::new(poll.registry(), listener, for_clients)?;
     let known = config.known.take();
     let mut proxy = Proxy {
@@ -142,17 +172,21 @@
             config.seed,
         ),
         door,
+        checks: Checks::new(shared),
+        health: HealthTimes::default(),
         twin,
         longest_deadline: longest_deadline(&config.site),
         config,
         options,
         stopping: false,
+        departed: false,
         left: false,
         poll,
     };
     let Config { name, discovery, .. } = &proxy.config;
     let operator = proxy.door.address().map(tracing::field::display);
     info!(event = "started", name, %listen, %discovery, operator);
+    proxy.start_health()?;
     if let Some(known) = known {
         proxy.members(Update { all: true, ..known });
     }
@@ -184,32 +218,32 @@
     }
 
     fn turn(&mut self, events: &mut Events, signals: &mut Signals) -> Result<(), String> {
-        let wait = if self.clients.pressing() || self.door.pressing() {
-            Some(std::time::Duration::ZERO)
-        } else {
-            self.timers.wait(self.clock.now())
-        };
+        let asleep = self.clock.now();
+        let pressing = self.clients.pressing() || self.door.pressing() || self.checks.pressing(asleep);
+        let wait = if pressing { Some(std::time::Duration::ZERO) } else { self.timers.wait(asleep) };
         match self.poll.poll(events, wait) {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(format!("polling: {e}")),
             _ => {}
         }
         self.now = self.clock.now();
-        // Operators before all else, however many others are ready.
+        self.health.slept += if pressing { 0 } else { self.now - asleep };
         for event in events.iter() {
-            match event.token() {
-                DOOR => self.door.knock(),
-                Token(t) if t >= CALLERS && t % STEP == CALLERS % STEP => self.operator((t - CALLERS) / STEP),
+            match Source::of(event.token()) {
+                Source::Door => self.door.knock(),
+                Source::Operator(key) => self.operator(key),
+                source @ (Source::HttpDoor | Source::AgentDoor) => self.checks.knock(source),
+                Source::Check(key) => self.with_checks(|checks, cx| checks.ready(cx, key)),
                 _ => {}
             }
         }
         self.with_own(|door, _, cx| door.accept(cx));
+        self.with_checks(Checks::go_on);
         for event in events.iter() {
-            match event.token() {
-                DOOR => {}
-                HEIRS | ELDER | HEIR => self.meet(event.token()),
-                Token(t) if t >= CALLERS && t % STEP == CALLERS % STEP => {}
-                LISTENER => self.clients.knock(),
-                SIGNALS => {
+            match Source::of(event.token()) {
+                source if source.first() => {}
+                source @ (Source::Heirs | Source::Elder | Source::Heir) => self.meet(source),
+                Source::Listener => self.clients.knock(),
+                Source::Signals => {
                     for signal in signals.pending() {
                         match signal {
                             SIGHUP => self.reload(),
@@ -217,15 +251,14 @@
                         }
                     }
                 }
-                AGENT => {
+                Source::Discovery => {
                     if let Some(update) = self.with(|_, _, agent, cx| agent.ready(cx)) {
                         self.members(update);
                     }
                 }
-                Token(t) if t % STEP == CLIENTS % STEP => {
-                    self.with(|clients, _, _, cx| clients.ready(cx, (t - CLIENTS) / STEP));
-                }
-                Token(t) => self.with(|_, pool, _, cx| pool.ready(cx, (t - BACKENDS) / STEP)),
+                Source::Client(key) => self.with(|clients, _, _, cx| clients.ready(cx, key)),
+                Source::Database(key) => self.with(|_, pool, _, cx| pool.ready(cx, key)),
+                _ => {}
             }
             self.carry_out();
         }
@@ -241,9 +274,21 @@
             self.fire(due);
             self.carry_out();
         }
+        self.look_at_health();
         Ok(())
     }
 
+    fn with_checks(&mut self, act: impl FnOnce(&mut Checks, &mut Cx)) {
+        let mut cx = Cx {
+            now: self.now,
+            registry: self.poll.registry(),
+            timers: &mut self.timers,
+            core: &mut self.core,
+            scratch: &mut self.scratch,
+        };
+        act(&mut self.checks, &mut cx);
+    }
+
     fn with_own(&mut self, act: impl FnOnce(&mut Door, &mut Twin, &mut Cx)) {
         let mut cx = Cx {
             now: self.now,
@@ -256,17 +301,18 @@
     }
 
     /// Another process of this proxy came, spoke or went.
-    fn meet(&mut self, token: Token) {
-        self.with_own(|_, twin, cx| match token {
-            HEIRS => twin.accept(cx),
+    fn meet(&mut self, source: Source) {
+        self.with_own(|_, twin, cx| match source {
+            Source::Heirs => twin.accept(cx),
             link => twin.ready(cx, link),
         });
         self.share();
+        self.agree();
     }
 
     /// What this process may do beside others.
     fn share(&mut self) {
-        let (for_clients, for_databases) = places(self.config.sockets, &self.twin);
+        let (for_clients, for_databases) = self.places();
         let replaced = self.twin.replaced();
         self.core.share(self.now, self.twin.processes());
         let stopping = self.stopping;
@@ -290,6 +336,18 @@
                     Call::Status if stopping => caller.no("stopping"),
                     Call::Status => caller.yes("it takes clients"),
                     Call::Stats => caller.figures(&figures),
+                    Call::Maintenance(on) => match &mut cx.core.watch {
+                        // Without balancers there is nothing to be taken out of.
+                        None => caller.unknown(),
+                        Some(watch) => {
+                            watch.monitor.fact(cx.now, Fact::Maintenance(on));
+                            caller.yes(if on {
+                                "balancers are told maintenance"
+                            } else {
+                                "maintenance is over"
+                            });
+                        }
+                    },
                 }
             }
             door.write(cx, key);
@@ -301,7 +359,8 @@
             return self.core.timer(self.now, id);
         }
         self.with(|clients, pool, agent, cx| match due {
-            Due::Module(_) | Due::Leave | Due::Exit => {}
+            Due::Module(_) | Due::Leave | Due::Exit | Due::Depart => {}
+            Due::Asked(..) | Due::Health | Due::HealthTick | Due::Yield | Due::Checks => {}
             Due::Attempt(attempt) => pool.overdue(cx, attempt),
             Due::Connect(key, serial) => pool.connect_overdue(cx, key, serial),
             Due::Probe(key, turn) => pool.probe_overdue(cx, key, turn),
@@ -324,7 +383,18 @@
                         twin.leaving(cx, held);
                     }
                 });
+                self.with_checks(Checks::sweep);
+                if self.checks.lacks() && !self.health.yielding && self.now >= self.health.ready_at - EARLY {
+                    self.with_checks(Checks::reopen);
+                }
             }
+            Due::Asked(key, serial) => self.with_checks(|checks, cx| checks.asked(cx, key, serial)),
+            // The look at the end of the turn does the rest.
+            Due::Health => self.health.timer = self.health.timer.filter(|at| *at > self.now),
+            Due::HealthTick => self.tell_load(),
+            Due::Yield if self.health.yielding => self.with_checks(Checks::stop_listening),
+            Due::Checks if self.checks.lacks() => self.with_checks(Checks::reopen),
+            Due::Depart => self.depart(),
             Due::Leave => {
                 self.with(|clients, _, _, cx| clients.leave(cx));
                 self.left = true;
@@ -386,13 +456,21 @@
                 return warn!(event = "reload-failed", error = %Quoted(message));
             }
         };
+        let opened = match self.checks.open(new.options.health.as_ref()) {
+            Ok(opened) => opened,
+            Err(message) => {
+                self.core.stats.load_errors += 1;
+                return warn!(event = "reload-failed", error = %Quoted(message));
+            }
+        };
         self.core.stats.loads += 1;
         let rest = self.config.differs(&new).join(",");
         let classes = new.site.class_names.join(",");
         info!(event = "reloaded", discovery = %new.discovery, classes, "needs-restart" = rest);
         // Requests that are open keep the deadlines that they came with.
         self.longest_deadline = longest_deadline(&new.site).max(longest_deadline(&self.config.site));
-        let (for_clients, for_databases) = places(new.sockets, &self.twin);
+        let reserve = new.options.descriptors();
+        let (for_clients, for_databases) = places(new.sockets, reserve, &self.twin);
         self.core.settings(self.now, &new.site);
         self.with(|clients, pool, agent, cx| {
             pool.settings(&new.site);
@@ -403,12 +481,29 @@
         let Config { name, listen, operator, inherited, .. } = &self.config;
         let (name, listen, operator, inherited) = (name.clone(), *listen, *operator, *inherited);
         self.config = Config { name, listen, operator, inherited, ..new };
+        self.watch();
+        let health = self.config.options.health.clone();
+        self.with_checks(|checks, cx| checks.take(cx, health, opened));
         self.carry_out();
     }
 
+    /// Told to stop. Where balancers are told of it, they have a while to go elsewhere first; told again, it leaves.
     fn stop(&mut self) {
         if !std::mem::replace(&mut self.stopping, true) {
             info!(event = "stopping", open = self.core.open_requests());
+            if let Some(watch) = &mut self.core.watch {
+                watch.monitor.fact(self.now, Fact::Stopping);
+            }
+            let lead = self.config.options.health.as_ref().map_or(0, |health| health.lead);
+            if lead > 0 && !self.twin.replaced() {
+                return self.timers.set(self.now + lead, Due::Depart);
+            }
+        }
+        self.depart();
+    }
+
+    fn depart(&mut self) {
+        if !std::mem::replace(&mut self.departed, true) {
             let linger = if self.config.inherited.is_some() {
                 self.with(|clients, _, _, cx| clients.hand_over(cx));
                 HANDOVER
@@ -419,4 +514,140 @@
             self.timers.set(self.now + linger + self.longest_deadline + LAST_CALL, Due::Exit);
         }
     }
+
+    fn places(&self) -> (usize, usize) {
+        let reserve = self.config.options.descriptors();
+        places(self.config.sockets, reserve, &self.twin)
+    }
+
+    /// Balancers are told, where the options say so.
+    fn start_health(&mut self) -> Result<(), String> {
+        self.watch();
+        let health = self.config.options.health.clone();
+        let elder = self.twin.has_elder();
+        // The one that this process replaces answers until it yields.
+        let opened = self.checks.open(if elder { None } else { health.as_ref() })?;
+        self.with_checks(|checks, cx| checks.take(cx, health, opened));
+        if elder {
+            self.ready_from(self.now + NO_WORD);
+        }
+        Ok(())
+    }
+
+    /// Has a monitor with the settings that are in force, or none.
+    fn watch(&mut self) {
+        let Some(options) = &self.config.options.health else {
+            self.core.watch = None;
+            return;
+        };
+        let settings = health::settings(options, &self.config.site, self.config.seed);
+        if options.settings.probes.is_some() && settings.probes.is_none() {
+            warn!(event = "health-probes-off", reason = "the settings do not allow probes");
+        }
+        let timeout = settings.probes.as_ref().map_or(0, |probes| probes.timeout);
+        self.pool.check_timeout(timeout);
+        match &mut self.core.watch {
+            Some(watch) => watch.monitor.settings(self.now, settings),
+            None => self.core.watch(self.now, Watch::new(settings, self.now)),
+        }
+        if !std::mem::replace(&mut self.health.ticking, true) {
+            (self.health.ticked, self.health.slept) = (self.now, 0);
+            self.timers.set(self.now + HEALTH_TICK, Due::HealthTick);
+        }
+    }
+
+    /// This process is not to be called ready before then.
+    fn ready_from(&mut self, at: Micros) {
+        self.health.ready_at = at;
+        if let Some(watch) = &mut self.core.watch {
+            watch.monitor.fact(self.now, Fact::ReadyAt(at));
+        }
+        self.checks.not_before(at);
+        self.timers.set(at - EARLY, Due::Checks);
+    }
+
+    /// One process of this proxy yields to the next at an instant that both know, so that balancers never find both
+    /// down, nor both up for new work.
+    fn agree(&mut self) {
+        if self.core.watch.is_none() {
+            return;
+        }
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = i64::try_from(unix.as_micros()).unwrap_or(i64::MAX);
+        let replaced = self.twin.replaced();
+        if replaced != self.health.yielding {
+            self.health.yielding = replaced;
+            let at = replaced.then_some(self.now + YIELD);
+            if let Some(watch) = &mut self.core.watch {
+                watch.monitor.fact(self.now, Fact::YieldAt(at));
+            }
+            match at {
+                Some(at) => {
+                    self.with_own(|_, twin, cx| twin.yields(cx, unix + YIELD));
+                    self.timers.set(at, Due::Yield);
+                }
+                None => self.with_checks(Checks::reopen),
+            }
+        }
+        if self.health.ready_at > self.now && !self.health.yields_heard {
+            let left = match self.twin.elder_yields() {
+                Some(at) => (at - unix).clamp(0, NO_WORD),
+                None if self.twin.has_elder() => return,
+                None => 0,
+            };
+            self.health.yields_heard = true;
+            self.ready_from(self.now + left);
+        }
+    }
+
+    /// What this process has to carry: the share of the time that its loop did not sleep, and of the descriptors for
+    /// databases that have something out.
+    fn tell_load(&mut self) {
+        if self.core.watch.is_none() {
+            self.health.ticking = false;
+            return;
+        }
+        let span = (self.now - self.health.ticked).max(1);
+        let busy = 1.0 - self.health.slept as f64 / span as f64;
+        (self.health.ticked, self.health.slept) = (self.now, 0);
+        let (for_clients, for_databases) = self.places();
+        let out = self.core.attempts_out() as f64 / for_databases.max(1) as f64;
+        let held = self.core.look_at_held(self.now);
+        let in_progress = self.core.open_requests();
+        if let Some(watch) = &mut self.core.watch {
+            let pressure = busy.max(out);
+            watch.monitor.fact(self.now, Fact::Load { pressure, in_progress, held, room: for_clients });
+        }
+        self.timers.set(self.now + HEALTH_TICK, Due::HealthTick);
+    }
+
+    /// Looks at what balancers are told, if it may have changed; sends the probes that are due.
+    fn look_at_health(&mut self) {
+        let Some(watch) = &mut self.core.watch else { return };
+        if watch.monitor.next_change() <= self.now {
+            watch.monitor.step(self.now);
+        }
+        let next = watch.monitor.next_change();
+        let changes = watch.monitor.changes();
+        let probes = watch.monitor.probes();
+        for change in changes {
+            match change {
+                Change::State { from, to, reason } => {
+                    info!(event = "health", state = to.word(), was = from.word(), reason = reason.word());
+                }
+                Change::Claim { group, kind, able, reason } => {
+                    let (kind, reason) = (kind.word(), reason.word());
+                    info!(event = "health-claim", group = group.0, kind, able, reason);
+                }
+            }
+        }
+        if self.health.timer.is_none_or(|at| next < at) {
+            self.health.timer = Some(next);
+            self.timers.set(next, Due::Health);
+        }
+        if !probes.is_empty() {
+            self.with(|_, pool, _, cx| probes.iter().for_each(|s| pool.check(cx, ServerId(s.0))));
+            self.carry_out();
+        }
+    }
 }
--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -1,9 +1,10 @@
 //! The connections to databases: opened as attempts and probes need them, kept while of use, each
 //! with one query out at a time.
 
+use super::Due;
+use super::sources::Source;
 use super::stream::{self, Ended};
 use super::timers::Timers;
-use super::{BACKENDS, Due, STEP};
 use crate::core::{Attempt, Core, Reply};
 use crate::log::Quoted;
 use crate::pg::backend::{Backend, Heard};
@@ -11,7 +12,7 @@
 use birchreach::{Ending, Micros, ServerId};
 use birchreach_settings::Site;
 use mio::net::TcpStream;
-use mio::{Interest, Registry, Token};
+use mio::{Interest, Registry};
 use slab::Slab;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -23,8 +24,18 @@
 
 /// What a connection was opened or taken for.
 enum Job {
-    Attempt { attempt: Attempt, work: Work, until: Micros },
-    Probe { server: ServerId },
+    Attempt {
+        attempt: Attempt,
+        work: Work,
+        until: Micros,
+    },
+    Probe {
+        server: ServerId,
+    },
+    /// A probe for the balancers' sake.
+    Check {
+        server: ServerId,
+    },
 }
 
 struct Connection {
@@ -59,6 +70,7 @@
     serial: u64,
     /// A probe on a connection that is up gets as long.
     connect_timeout: Micros,
+    check_timeout: Micros,
     idle_limit: Micros,
     report: (Option<String>, Option<String>),
 }
@@ -82,6 +94,7 @@
             starved: false,
             serial: 0,
             connect_timeout: 0,
+            check_timeout: 0,
             idle_limit: 0,
             report: (None, None),
         };
@@ -116,6 +129,16 @@
         self.take_up(cx, server, Job::Probe { server });
     }
 
+    /// A probe that the decisions did not ask for, and are not told of.
+    pub fn check(&mut self, cx: &mut Cx, server: ServerId) {
+        self.take_up(cx, server, Job::Check { server });
+    }
+
+    /// How long such a probe may be out on a connection that is up.
+    pub fn check_timeout(&mut self, timeout: Micros) {
+        self.check_timeout = timeout;
+    }
+
     fn take_up(&mut self, cx: &mut Cx, server: ServerId, job: Job) {
         while let Some((key, rested)) = self.take_idle(cx, server) {
             if !rested {
@@ -142,7 +165,7 @@
                 cx.timers.set(cx.now + self.connect_timeout, Due::Connect(key, serial));
                 self.slots[key].job = Some(job);
             }
-            Err(ending) => self.report(cx, job, Reply::bare(ending)),
+            Err(reply) => self.report(cx, job, reply),
         }
     }
 
@@ -185,10 +208,10 @@
     }
 
     /// A new connection. Where there is no socket for it the server is not to blame, and nothing was sent.
-    fn open(&mut self, cx: &mut Cx, server: ServerId) -> Result<usize, Ending> {
-        let address = cx.core.address(server).ok_or(Ending::ConnectFailed)?;
+    fn open(&mut self, cx: &mut Cx, server: ServerId) -> Result<usize, Reply> {
+        let address = cx.core.address(server).ok_or_else(|| Reply::bare(Ending::ConnectFailed))?;
         if self.slots.len() >= self.most && !self.evict(cx) {
-            return Err(Ending::Moot);
+            return Err(Reply::bare(Ending::Moot));
         }
         let failed = |cx: &Cx, reason, error| {
             let server = cx.core.name(server);
@@ -198,22 +221,22 @@
             Ok(stream) => stream,
             Err(e) if e.kind() == ErrorKind::ConnectionRefused => {
                 failed(cx, "refused", e);
-                return Err(Ending::ConnectFailed);
+                return Err(Reply::refused());
             }
             Err(e) => {
                 // Fewer than the limit told: one of our own makes room for the next.
                 failed(cx, "no-socket", e);
                 self.starved |= !self.evict(cx);
-                return Err(Ending::Moot);
+                return Err(Reply::bare(Ending::Moot));
             }
         };
         let _ = stream.set_nodelay(true);
         let slot = self.slots.vacant_entry();
         let key = slot.key();
-        let token = Token(BACKENDS + key * STEP);
+        let token = Source::Database(key).token();
         if let Err(e) = cx.registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE) {
             failed(cx, "no-socket", e);
-            return Err(Ending::Moot);
+            return Err(Reply::bare(Ending::Moot));
         }
         self.serial += 1;
         slot.insert(Connection {
@@ -260,11 +283,13 @@
                 c.machine.run(work, u64::try_from((until - cx.now) / 1000).unwrap_or(1).max(1));
                 self.attempts.insert(*attempt, key);
             }
-            Job::Probe { .. } => {
+            Job::Probe { .. } | Job::Check { .. } => {
                 c.machine.probe();
                 self.serial += 1;
                 c.turn = self.serial;
-                cx.timers.set(cx.now + self.connect_timeout, Due::Probe(key, c.turn));
+                let check = matches!(job, Job::Check { .. });
+                let timeout = if check { self.check_timeout } else { self.connect_timeout };
+                cx.timers.set(cx.now + timeout, Due::Probe(key, c.turn));
             }
         }
         (c.job, c.asked, c.written) = (Some(job), true, false);
@@ -302,7 +327,7 @@
             match c.stream.take_error() {
                 Ok(None) => return true,
                 Ok(Some(e)) if e.kind() == ErrorKind::ConnectionRefused => {
-                    self.unreachable(cx, key, "refused");
+                    self.unreachable(cx, key, "refused", Reply::refused());
                 }
                 _ => self.end(cx, key, "reset"),
             }
@@ -384,6 +409,7 @@
             }
             Heard::Ready => {
                 self.slots[key].up = true;
+                cx.core.alive(cx.now, self.slots[key].server);
                 match self.slots[key].job.take() {
                     Some(job) => self.ask(cx, key, job),
                     None => self.settle(cx, key),
@@ -437,9 +463,9 @@
     }
 
     /// No connection came up: no process listens, or nothing is heard of the machine.
-    fn unreachable(&mut self, cx: &mut Cx, key: usize, reason: &str) {
+    fn unreachable(&mut self, cx: &mut Cx, key: usize, reason: &str, reply: Reply) {
         if let Some(job) = self.close(cx, key, reason) {
-            self.report(cx, job, Reply::bare(Ending::ConnectFailed));
+            self.report(cx, job, reply);
         }
     }
 
@@ -467,7 +493,8 @@
                 self.attempts.remove(&attempt);
                 cx.core.outcome(cx.now, attempt, reply);
             }
-            Job::Probe { server } => cx.core.probed(cx.now, server, reply.ending, reply.report),
+            Job::Probe { server } => cx.core.probed(cx.now, server, &reply),
+            Job::Check { server } => cx.core.checked(cx.now, server, &reply),
         }
     }
 
@@ -505,12 +532,13 @@
 
     pub fn connect_overdue(&mut self, cx: &mut Cx, key: usize, serial: u64) {
         if self.slots.get(key).is_some_and(|c| c.serial == serial && !c.up) {
-            self.unreachable(cx, key, "connect-timeout");
+            self.unreachable(cx, key, "connect-timeout", Reply::bare(Ending::ConnectFailed));
         }
     }
 
     pub fn probe_overdue(&mut self, cx: &mut Cx, key: usize, turn: u64) {
-        let probing = |c: &Connection| c.turn == turn && matches!(c.job, Some(Job::Probe { .. }));
+        let probing =
+            |c: &Connection| c.turn == turn && matches!(c.job, Some(Job::Probe { .. } | Job::Check { .. }));
         if self.slots.get(key).is_some_and(probing)
             && let Some(job) = self.close(cx, key, "timeout")
         {
--- a/proxy/src/net/twin.rs
+++ b/proxy/src/net/twin.rs
@@ -2,13 +2,13 @@
 //! so that limits and budgets cover both.
 
 use super::pool::Cx;
+use super::sources::Source;
 use super::stream;
-use super::{ELDER, HEIR, HEIRS};
 use crate::config::hash;
 use crate::log::Quoted;
 use crate::peer::{Peer, Word};
 use mio::net::{UnixListener, UnixStream};
-use mio::{Interest, Registry, Token};
+use mio::{Interest, Registry};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use tracing::{info, warn};
@@ -18,6 +18,8 @@
     machine: Peer,
     /// It takes clients, or was told to stop and holds so much.
     word: Option<Word>,
+    /// When the elder takes no new work any more, on the system's clock.
+    yields: Option<i64>,
 }
 
 #[derive(Default)]
@@ -36,11 +38,13 @@
         let mut twin = Twin { path: Some(path.clone()), ..Twin::default() };
         // Refused, or not there: nobody serves, whatever file was left behind.
         if let Ok(mut stream) = UnixStream::connect(&path)
-            && registry.register(&mut stream, ELDER, Interest::READABLE | Interest::WRITABLE).is_ok()
+            && registry
+                .register(&mut stream, Source::Elder.token(), Interest::READABLE | Interest::WRITABLE)
+                .is_ok()
         {
             let mut machine = Peer::default();
             machine.say(Word::Serving);
-            twin.elder = Some(Link { stream, machine, word: None });
+            twin.elder = Some(Link { stream, machine, word: None, yields: None });
         }
         twin.listen(registry);
         twin
@@ -51,7 +55,7 @@
         let Some(path) = &self.path else { return };
         let _ = std::fs::remove_file(path);
         let bound = UnixListener::bind(path).and_then(|mut listener| {
-            registry.register(&mut listener, HEIRS, Interest::READABLE)?;
+            registry.register(&mut listener, Source::Heirs.token(), Interest::READABLE)?;
             Ok(listener)
         });
         match bound {
@@ -68,16 +72,20 @@
             if let Some(mut old) = self.heir.take() {
                 let _ = cx.registry.deregister(&mut old.stream);
             }
-            if cx.registry.register(&mut stream, HEIR, Interest::READABLE | Interest::WRITABLE).is_ok() {
-                self.heir = Some(Link { stream, machine: Peer::default(), word: None });
+            if cx
+                .registry
+                .register(&mut stream, Source::Heir.token(), Interest::READABLE | Interest::WRITABLE)
+                .is_ok()
+            {
+                self.heir = Some(Link { stream, machine: Peer::default(), word: None, yields: None });
                 info!(event = "heir-met");
             }
         }
     }
 
     /// Reads and writes one of the links.
-    pub fn ready(&mut self, cx: &mut Cx, token: Token) {
-        let elder = token == ELDER;
+    pub fn ready(&mut self, cx: &mut Cx, link: Source) {
+        let elder = link == Source::Elder;
         let slot = if elder { &mut self.elder } else { &mut self.heir };
         let Some(link) = slot else { return };
         let machine = &mut link.machine;
@@ -88,6 +96,7 @@
         let sound = loop {
             match link.machine.next() {
                 Ok(None) => break true,
+                Ok(Some(Word::Yields(at))) => link.yields = Some(at),
                 Ok(word) => link.word = word,
                 Err(_) => break false,
             }
@@ -97,7 +106,7 @@
             let _ = cx.registry.deregister(&mut link.stream);
             *slot = None;
             info!(event = if elder { "elder-gone" } else { "heir-gone" });
-            if token == HEIR {
+            if !elder {
                 // It had taken the meeting place too.
                 self.listen(cx.registry);
             }
@@ -108,10 +117,27 @@
     pub fn leaving(&mut self, cx: &mut Cx, held: usize) {
         if let Some(heir) = &mut self.heir {
             heir.machine.say(Word::Leaving(held));
-            self.ready(cx, HEIR);
+            self.ready(cx, Source::Heir);
         }
     }
 
+    /// Tells the heir when this process takes no new work any more, on the system's clock.
+    pub fn yields(&mut self, cx: &mut Cx, unix: i64) {
+        if let Some(heir) = &mut self.heir {
+            heir.machine.say(Word::Yields(unix));
+            self.ready(cx, Source::Heir);
+        }
+    }
+
+    /// What the elder said of that.
+    pub fn elder_yields(&self) -> Option<i64> {
+        self.elder.as_ref()?.yields
+    }
+
+    pub fn has_elder(&self) -> bool {
+        self.elder.is_some()
+    }
+
     /// Another process takes the clients now.
     pub fn replaced(&self) -> bool {
         self.heir.as_ref().is_some_and(|heir| heir.word == Some(Word::Serving))
--- a/proxy/src/operator.rs
+++ b/proxy/src/operator.rs
@@ -13,6 +13,8 @@
     Status,
     /// Its figures.
     Stats,
+    /// Take the proxy out of the balancers' rotation, or back in.
+    Maintenance(bool),
 }
 
 /// A caller's connection.
@@ -50,12 +52,18 @@
         match self.line.trim_ascii() {
             b"status" => return Some(Call::Status),
             b"stats" => return Some(Call::Stats),
+            b"maintenance on" => return Some(Call::Maintenance(true)),
+            b"maintenance off" => return Some(Call::Maintenance(false)),
             b"" => self.no("an empty line; calls are: status, stats"),
-            _ => self.no("no such call; calls are: status, stats"),
+            _ => self.unknown(),
         }
         None
     }
 
+    pub fn unknown(&mut self) {
+        self.no("no such call; calls are: status, stats");
+    }
+
     pub fn yes(&mut self, what: &str) {
         self.reply(&format!("YES {what}\n"));
     }
--- a/proxy/src/peer.rs
+++ b/proxy/src/peer.rs
@@ -13,6 +13,8 @@
     Serving,
     /// The older one was told to stop, and still holds so many descriptors.
     Leaving(usize),
+    /// The older one takes no new work from this time on: microseconds of the system's clock, which both read.
+    Yields(i64),
 }
 
 /// What it says makes no sense.
@@ -39,6 +41,7 @@
         let line = std::str::from_utf8(&line).map_err(|_| Nonsense)?.trim_end();
         match line.split_once(' ') {
             None if line == "serving" => Ok(Some(Word::Serving)),
+            Some(("yields", at)) => at.parse().map(|at| Some(Word::Yields(at))).map_err(|_| Nonsense),
             Some(("leaving", held)) => held.parse().map(|n| Some(Word::Leaving(n))).map_err(|_| Nonsense),
             _ => Err(Nonsense),
         }
@@ -49,6 +52,7 @@
             match word {
                 Word::Serving => "serving\n".to_string(),
                 Word::Leaving(held) => format!("leaving {held}\n"),
+                Word::Yields(at) => format!("yields {at}\n"),
             }
             .as_bytes(),
         );
@@ -64,14 +68,15 @@
         let mut said = Peer::default();
         said.say(Word::Serving);
         said.say(Word::Leaving(17));
+        said.say(Word::Yields(1_767_225_600_123_456));
         let mut heard = Peer::default();
         let mut words = Vec::new();
         for byte in said.out.pending() {
             heard.feed(&[*byte]);
             words.extend(heard.next().unwrap());
         }
-        assert_eq!(words, [Word::Serving, Word::Leaving(17)]);
-        for bad in ["leaving\n", "leaving -1\n", "\n", &"x".repeat(65)] {
+        assert_eq!(words, [Word::Serving, Word::Leaving(17), Word::Yields(1_767_225_600_123_456)]);
+        for bad in ["leaving\n", "leaving -1\n", "yields soon\n", "\n", &"x".repeat(65)] {
             let mut peer = Peer::default();
             peer.feed(bad.as_bytes());
             assert_eq!(peer.next(), Err(Nonsense), "{bad}");
--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -207,7 +207,13 @@
             None => Ending::Ok,
         };
         let report = value.as_ref().filter(|_| probe && ending == Ending::Ok).and_then(|v| self.report(v));
-        Reply { ending, value: value.filter(|_| ending == Ending::Ok && !probe), note, report }
+        Reply {
+            ending,
+            value: value.filter(|_| ending == Ending::Ok && !probe),
+            note,
+            report,
+            refused: false,
+        }
     }
 
     /// A report as `x0=1767225600123,x1=1`. One that cannot be read in all its parts is none.
