--- a/options/src/lib.rs
+++ b/options/src/lib.rs
@@ -97,8 +97,14 @@
     let mut reader = Reader { doc: &doc, faults: Vec::new() };
     for error in schema.validate(&doc) {
         let line = error.line.unwrap_or(1);
-        let element = reader.element_at(line, error.column.unwrap_or(1));
-        reader.faults.push(Fault { line, element, message: error.message });
+        let node = reader.element_at(line, error.column.unwrap_or(1));
+        let (element, attribute) = (reader.name(node), reader.attribute(node, &error.message));
+        let message = format!("{attribute}{}", error.message);
+        // A value of the wrong type is out of its range too; that is not told beside it.
+        let again = |f: &Fault| f.line == line && !attribute.is_empty() && f.message.starts_with(&attribute);
+        if !reader.faults.iter().any(again) {
+            reader.faults.push(Fault { line, element, message });
+        }
     }
     let options = if reader.faults.is_empty() { reader.options() } else { Options::default() };
     let mut faults = reader.faults;
@@ -120,13 +126,21 @@
     }
 
     /// The element that begins at this place, or the last one before it.
-    fn element_at(&self, line: usize, column: usize) -> String {
-        let Some(root) = self.doc.document_element() else { return "file".into() };
+    fn element_at(&self, line: usize, column: usize) -> NodeId {
+        let Some(root) = self.doc.document_element() else { return self.doc.root() };
         let all = std::iter::once(root).chain(self.doc.descendants(root));
         let place = |node: &NodeId| (self.doc.node_line(*node), self.doc.node_column(*node));
         let before =
             all.filter(|node| self.doc.element(*node).is_some() && place(node) <= (line, column.max(1)));
-        before.max_by_key(place).map_or_else(|| "file".into(), |node| self.name(node))
+        before.max_by_key(place).unwrap_or(root)
+    }
+
+    /// `name: ` of the attribute that a message speaks of, by the value that it quotes.
+    fn attribute(&self, node: NodeId, message: &str) -> String {
+        let value = message.split('\'').nth(1);
+        let attributes = self.doc.element(node).map_or(&[][..], |e| &e.attributes);
+        let found = attributes.iter().find(|a| Some(a.value.as_ref()) == value);
+        found.map_or_else(String::new, |a| format!("{}: ", a.name.local_name))
     }
 
     fn fault(&mut self, node: NodeId, message: impl Into<String>) {
--- /dev/null
+++ b/standins/src/database.rs
@@ -0,0 +1,235 @@
+//! A database: a primary or a replica by its script, which may be slow, hang (it accepts and answers nothing), die and
+//! come back. Rows are shared by a group, and replicas have every write at once.
+
+use crate::lock;
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How often a blocked thread looks whether its database is still alive.
+const LOOK: Duration = Duration::from_millis(2);
+
+#[derive(Clone, Debug)]
+struct Mode {
+    up: bool,
+    hung: bool,
+    primary: bool,
+    /// How long statements of a class take.
+    delays: HashMap<String, Duration>,
+}
+
+/// What a group's databases share: rows, and how often each request's id was written.
+#[derive(Default)]
+pub struct Rows {
+    rows: Mutex<HashMap<String, String>>,
+    written: Mutex<HashMap<String, u32>>,
+}
+
+impl Rows {
+    /// Requests that were written more than once.
+    pub fn doubles(&self) -> usize {
+        lock(&self.written).values().filter(|n| **n > 1).count()
+    }
+}
+
+struct Inner {
+    address: SocketAddr,
+    mode: Mutex<Mode>,
+    changed: Condvar,
+    rows: Arc<Rows>,
+    asked: AtomicU64,
+    /// Prints each statement.
+    talks: bool,
+}
+
+/// A handle to one; it ends with the process.
+#[derive(Clone)]
+pub struct Database(Arc<Inner>);
+
+impl Database {
+    /// Starts one; with port 0 at a free port.
+    pub fn start(address: SocketAddr, primary: bool, rows: &Arc<Rows>, talks: bool) -> io::Result<Database> {
+        let listener = TcpListener::bind(address)?;
+        let mode = Mutex::new(Mode { up: true, hung: false, primary, delays: HashMap::new() });
+        let inner = Inner {
+            address: listener.local_addr()?,
+            mode,
+            changed: Condvar::new(),
+            rows: rows.clone(),
+            asked: AtomicU64::new(0),
+            talks,
+        };
+        let database = Database(Arc::new(inner));
+        let own = database.clone();
+        thread::spawn(move || own.accept(listener));
+        Ok(database)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// Statements that came, probes too.
+    pub fn asked(&self) -> u64 {
+        self.0.asked.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, change: impl FnOnce(&mut Mode)) {
+        change(&mut lock(&self.0.mode));
+        self.0.changed.notify_all();
+    }
+
+    /// It accepts and answers nothing, until told otherwise.
+    pub fn hang(&self, hung: bool) {
+        self.set(|mode| mode.hung = hung);
+    }
+
+    /// Its connections break and new ones are refused; and back.
+    pub fn up(&self, up: bool) {
+        self.set(|mode| mode.up = up);
+    }
+
+    pub fn primary(&self, primary: bool) {
+        self.set(|mode| mode.primary = primary);
+    }
+
+    /// Statements of this class take so long.
+    pub fn delay(&self, class: &str, delay: Duration) {
+        self.set(|mode| {
+            mode.delays.insert(class.into(), delay);
+        });
+    }
+
+    fn is_up(&self) -> bool {
+        lock(&self.0.mode).up
+    }
+
+    fn accept(&self, first: TcpListener) {
+        let mut listener = Some(first);
+        loop {
+            if !self.is_up() {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.0.address).ok();
+            }
+            if let Some(listener) = &listener {
+                let _ = listener.set_nonblocking(true);
+                while let Ok((stream, _)) = listener.accept() {
+                    let own = self.clone();
+                    thread::spawn(move || own.serve(stream));
+                }
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
+    /// Waits until it does not hang. False: it died meanwhile.
+    fn awake(&self) -> bool {
+        let mut mode = lock(&self.0.mode);
+        while mode.hung && mode.up {
+            mode = self.0.changed.wait(mode).unwrap_or_else(|e| e.into_inner());
+        }
+        mode.up
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nonblocking(false)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(LOOK))?;
+        self.body(&mut stream)?;
+        let ready = message(b'Z', b"I");
+        if self.awake() {
+            stream.write_all(&[message(b'R', &[0; 4]), ready.clone()].concat())?;
+        }
+        while self.is_up() {
+            let mut tag = [0];
+            self.fill(&mut stream, &mut tag)?;
+            let body = self.body(&mut stream)?;
+            if tag[0] != b'Q' {
+                return Ok(());
+            }
+            let query = String::from_utf8_lossy(&body).trim_end_matches('\0').to_string();
+            self.0.asked.fetch_add(1, Ordering::Relaxed);
+            let class = field(&query, "c=").unwrap_or_default();
+            let delay = lock(&self.0.mode).delays.get(&class).copied();
+            delay.into_iter().for_each(thread::sleep);
+            if !self.awake() {
+                break;
+            }
+            let answer = self.answer(&query);
+            stream.write_all(&[answer, ready.clone()].concat())?;
+        }
+        Ok(())
+    }
+
+    /// Reads all of it, however long that takes, while the database lives.
+    fn fill(&self, stream: &mut TcpStream, into: &mut [u8]) -> io::Result<()> {
+        let mut at = 0;
+        while at < into.len() {
+            match stream.read(&mut into[at..]) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(n) => at += n,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) && self.is_up() => {
+                }
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    fn body(&self, stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+        let mut length = [0; 4];
+        self.fill(stream, &mut length)?;
+        let mut body = vec![0; (u32::from_be_bytes(length) as usize).saturating_sub(4).min(1 << 20)];
+        self.fill(stream, &mut body)?;
+        Ok(body)
+    }
+
+    fn answer(&self, query: &str) -> Vec<u8> {
+        let primary = lock(&self.0.mode).primary;
+        if self.0.talks {
+            println!("{}: {query}", if primary { "primary" } else { "replica" });
+        }
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let quoted: Vec<&str> = query.split('\'').skip(1).step_by(2).collect();
+        let answer = match quoted[..] {
+            _ if query == "SHOW usage" => row(&format!("x0={now},x1={}", u8::from(primary))),
+            [_, _, ..] if !primary => message(b'E', b"SERROR\0C25006\0Mthis is no primary\0\0"),
+            [handle, blob, ..] => {
+                lock(&self.0.rows.rows).insert(handle.to_string(), blob.to_string());
+                let id = field(query, "id=").unwrap_or_default();
+                *lock(&self.0.rows.written).entry(id).or_default() += 1;
+                row(blob)
+            }
+            [handle] => row(lock(&self.0.rows.rows).get(handle).map_or("(no such row)", |blob| blob)),
+            [] => message(b'E', b"SERROR\0C42601\0Mnot a statement that is known here\0\0"),
+        };
+        let role = format!("server_role\0{}\0", if primary { "writer" } else { "reader" });
+        let position = format!("commit_clock\0{now}\0");
+        [answer, message(b'S', role.as_bytes()), message(b'S', position.as_bytes())].concat()
+    }
+}
+
+/// A value from the statement's comment.
+fn field(query: &str, name: &str) -> Option<String> {
+    let comment = query.split("/* ").nth(1)?;
+    let mut fields = comment.split([',', ' ']);
+    fields.find_map(|f| f.strip_prefix(name)).map(Into::into)
+}
+
+fn message(tag: u8, body: &[u8]) -> Vec<u8> {
+    let length = (body.len() as u32 + 4).to_be_bytes();
+    [&[tag], &length[..], body].concat()
+}
+
+/// A result of one row with one column, said to be in binary form as databases have it.
+fn row(value: &str) -> Vec<u8> {
+    let length = (value.len() as u32).to_be_bytes();
+    let column = [&[0, 1][..], b"blob\0", &[0; 6], &[0, 0, 0, 17], &[255; 6], &[0, 1]].concat();
+    let data = [&[0, 1][..], &length, value.as_bytes()].concat();
+    [message(b'T', &column), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
--- /dev/null
+++ b/standins/src/process.rs
@@ -0,0 +1,150 @@
+//! The built program as a child of a test, with files of its own.
+
+use crate::lock;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than any machine stalls; nothing waits for it unless it fails.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a process is started with.
+pub struct Setup<'a> {
+    pub program: &'a Path,
+    /// A folder that is there.
+    pub folder: &'a Path,
+    pub name: &'a str,
+    pub config: &'a str,
+    /// Without it the process has no options.
+    pub options: Option<&'a str>,
+    /// The clients' listening socket, where the platform holds it.
+    pub inherited: Option<&'a TcpListener>,
+    /// Descriptors that the system gives it.
+    pub descriptors: Option<u32>,
+}
+
+pub struct Process {
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    config: PathBuf,
+    options: PathBuf,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    pub fn start(setup: &Setup) -> std::io::Result<Process> {
+        let file = |ending: &str| setup.folder.join(format!("{}.{ending}", setup.name));
+        let (config, options, tmp) = (file("json"), file("xml"), setup.folder.join("tmp"));
+        std::fs::create_dir_all(&tmp)?;
+        std::fs::write(&config, setup.config)?;
+        let mut shell = setup.descriptors.map_or(String::new(), |n| format!("ulimit -n {n}; "));
+        shell += &format!("exec '{}'", setup.program.display());
+        if let Some(text) = setup.options {
+            std::fs::write(&options, text)?;
+            shell += &format!(" --options '{}'", options.display());
+        }
+        let mut command = Command::new("/bin/sh");
+        command.env("RELAY_CONFIG", &config).env("TMPDIR", &tmp).stderr(Stdio::piped()).stdin(Stdio::null());
+        if let Some(listener) = setup.inherited {
+            shell += " 3<&0 </dev/null";
+            command.stdin(Stdio::from(OwnedFd::from(listener.try_clone()?))).env("RELAY_INHERITED_FD", "3");
+        }
+        let mut child = command.args(["-c", &shell]).spawn()?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        if let Some(errors) = child.stderr.take() {
+            let log = log.clone();
+            thread::spawn(move || {
+                BufReader::new(errors).lines().map_while(Result::ok).for_each(|line| lock(&log).push(line));
+            });
+        }
+        Ok(Process { child, log, config, options })
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        lock(&self.log).clone()
+    }
+
+    /// The first line with all of these words, once it is there.
+    pub fn line(&self, words: &[&str]) -> Option<String> {
+        let start = Instant::now();
+        loop {
+            let has = |line: &&String| words.iter().all(|w| line.contains(w));
+            if let Some(line) = lock(&self.log).iter().find(has) {
+                return Some(line.clone());
+            }
+            if start.elapsed() > PATIENCE {
+                return None;
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn address(&self, words: &[&str], key: &str) -> Option<SocketAddr> {
+        self.line(words)?.split(' ').find_map(|w| w.strip_prefix(key))?.parse().ok()
+    }
+
+    pub fn clients(&self) -> Option<SocketAddr> {
+        self.address(&["event=started"], "listen=")
+    }
+
+    pub fn operators(&self) -> Option<SocketAddr> {
+        self.address(&["event=started"], "operator=")
+    }
+
+    /// Where checks of a kind, `http` or `agent`, are answered.
+    pub fn checks(&self, kind: &str) -> Option<SocketAddr> {
+        self.address(&["event=health-listening", &format!("kind={kind}")], "at=")
+    }
+
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([&format!("-{name}"), &self.pid().to_string()]).status();
+    }
+
+    /// Replaces the files' texts and has them read again.
+    pub fn reload(&self, config: &str, options: &str) -> std::io::Result<()> {
+        std::fs::write(&self.config, config)?;
+        std::fs::write(&self.options, options)?;
+        self.signal("HUP");
+        Ok(())
+    }
+
+    /// Its exit code, once it has ended.
+    pub fn ended(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        None
+    }
+
+    /// User and system time so far, in clock ticks (a hundredth of a second).
+    pub fn ticks(&self) -> Option<u64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid())).ok()?;
+        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+        Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+    }
+
+    /// Resident memory, in KiB.
+    pub fn memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
+        status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?.trim().split(' ').next()?.parse().ok()
+    }
+}
--- /dev/null
+++ b/standins/src/rig.rs
@@ -0,0 +1,157 @@
+//! Groups of databases with discovery before them, and the files that let a proxy find them.
+
+use crate::database::{Database, Rows};
+use crate::discovery::{Discovery, Line};
+use crate::process::{Process, Setup};
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+pub struct Group {
+    pub primary: Database,
+    pub replica: Database,
+    pub rows: Arc<Rows>,
+}
+
+pub struct Rig {
+    pub groups: Vec<Group>,
+    pub discovery: Discovery,
+    folder: PathBuf,
+    program: PathBuf,
+    own: IpAddr,
+    /// Descriptors that a proxy is told it may hold.
+    pub sockets: u32,
+}
+
+impl Rig {
+    /// `own` is a loopback address that nobody else uses meanwhile; the folder is made anew.
+    pub fn new(groups: u32, own: [u8; 4], program: &Path, folder: &Path) -> io::Result<Rig> {
+        let _ = std::fs::remove_dir_all(folder);
+        std::fs::create_dir_all(folder)?;
+        let own = IpAddr::from(own);
+        let free = SocketAddr::new(own, 0);
+        let group = |_| {
+            let rows = Arc::default();
+            let primary = Database::start(free, true, &rows, false)?;
+            Ok(Group { primary, replica: Database::start(free, false, &rows, false)?, rows })
+        };
+        let groups = (0..groups).map(group).collect::<io::Result<Vec<Group>>>()?;
+        let discovery = Discovery::start(free, lines(&groups))?;
+        Ok(Rig { groups, discovery, folder: folder.into(), program: program.into(), own, sockets: 1024 })
+    }
+
+    /// An address at a port that is free now.
+    pub fn free(&self) -> io::Result<SocketAddr> {
+        TcpListener::bind((self.own, 0))?.local_addr()
+    }
+
+    pub fn own(&self) -> IpAddr {
+        self.own
+    }
+
+    pub fn config(&self, seed: u64) -> String {
+        let class = |name: &str, worth: f64, deadline: f64, idem: &str| {
+            format!(
+                r#"{{"name": "{name}", "credit": {worth}, "deadline_ms": {deadline}, "goal_time_ms": 750.0, "idempotency": "{idem}", "late_worth": 0.5}}"#
+            )
+        };
+        let classes = [
+            class("tariff-lookup", 1.0, 2500.0, "free"),
+            class("file-entry", 6.0, 3000.0, "single_shot"),
+            class("heavy", 1.0, 9000.0, "single_shot"),
+        ];
+        format!(
+            r#"{{"name": "p{seed}", "listen": "{own}:0", "discovery": "{discovery}", "operator": "{own}:0",
+ "seed": "{seed:016x}", "limits": {{"sockets": {sockets}}},
+ "known": {{"rev": 0, "all": true, "targets": []}},
+ "settings": {{"balancers": 1, "my_zone": 0, "dcs": ["a"], "classes": [{classes}],
+  "extra": {{"class_read": ["any", "write", "write"], "max_age_ms": [0.0, 0.0, 0.0], "guards": "silent", "tokens": "carried"}},
+  "limits": {{"attempts_cap": 6, "may_cancel": true, "may_probe": true, "parallel_tries": true, "conn_idle_ms": 30000.0, "connect_timeout_ms": 250.0}},
+  "load_info": {{"names": ["x0", "x1"], "via": "pull"}},
+  "obligations": {{"cold_ms": 18000.0, "cold_share": 0.15, "drain_grace_ms": 2000.0, "fall_ms": 1500.0, "fall_multiple": 3.0}}}}}}"#,
+            own = self.own,
+            discovery = self.discovery.address(),
+            sockets = self.sockets,
+            classes = classes.join(", "),
+        )
+    }
+
+    /// Options with both doors at these addresses, and whatever else stands within `health`.
+    pub fn options(http: SocketAddr, agent: SocketAddr, callers: u32, more: &str) -> String {
+        format!(
+            "<birchreach-options>\n<health>\n<http listen='{http}' callers='{callers}'/>\n\
+             <agent listen='{agent}' callers='{callers}'/>\n{more}\n</health>\n</birchreach-options>"
+        )
+    }
+
+    /// Starts a proxy and waits until it serves.
+    pub fn start(
+        &self,
+        n: u64,
+        options: Option<&str>,
+        inherited: Option<&TcpListener>,
+    ) -> io::Result<Process> {
+        let setup = Setup {
+            program: &self.program,
+            folder: &self.folder,
+            name: &format!("p{n}"),
+            config: &self.config(n),
+            options,
+            inherited,
+            descriptors: Some(self.sockets + 64),
+        };
+        let process = Process::start(&setup)?;
+        process
+            .clients()
+            .ok_or_else(|| io::Error::other(format!("it does not serve: {:?}", process.log())))?;
+        Ok(process)
+    }
+
+    /// One with both doors at free ports of its own.
+    pub fn start_with_doors(&self, n: u64, callers: u32, more: &str) -> io::Result<Process> {
+        let free = SocketAddr::new(self.own, 0);
+        self.start(n, Some(&Rig::options(free, free, callers, more)), None)
+    }
+
+    /// The replica of a group takes over. `told`: discovery says so too.
+    pub fn fail_over(&self, group: usize, told: bool) {
+        let g = &self.groups[group];
+        g.primary.primary(false);
+        g.replica.primary(true);
+        if told {
+            self.tell(group, g.replica.address());
+        }
+    }
+
+    /// The group's primary is its first one again, and it lives.
+    pub fn restore(&self, group: usize) {
+        let g = &self.groups[group];
+        g.replica.primary(false);
+        g.primary.primary(true);
+        g.primary.up(true);
+        g.primary.hang(false);
+        self.tell(group, g.primary.address());
+    }
+
+    /// Discovery names this one as the group's primary.
+    pub fn tell(&self, group: usize, primary: SocketAddr) {
+        self.discovery.change(|lines| {
+            for line in lines.iter_mut().filter(|l| l.group as usize == group) {
+                line.primary = line.endpoint == primary;
+            }
+        });
+    }
+}
+
+fn lines(groups: &[Group]) -> Vec<Line> {
+    let mut lines = Vec::new();
+    for (n, g) in groups.iter().enumerate() {
+        for (database, primary) in [(&g.primary, true), (&g.replica, false)] {
+            let uid = format!("s-{n}{}", if primary { "p" } else { "r" });
+            let (endpoint, group) = (database.address(), n as u32);
+            lines.push(Line { uid, endpoint, group, state: "up", primary });
+        }
+    }
+    lines
+}
