--- a/benches/src/cost.rs
+++ b/benches/src/cost.rs
@@ -19,13 +19,13 @@
 /// Requests for a while: how many a second, and how long each took.
 fn load(at: SocketAddr, long: Duration) -> Times {
     let until = Instant::now() + long;
-    let all = Mutex::new(Times::new());
+    let all = Mutex::new(Times::default());
     thread::scope(|scope| {
         for n in 0..CLIENTS {
             let all = &all;
             scope.spawn(move || {
                 let Ok(mut client) = Client::connect(at) else { return };
-                let mut own = Times::new();
+                let mut own = Times::default();
                 while Instant::now() < until {
                     let start = Instant::now();
                     let reply = match n % 4 {
@@ -91,7 +91,7 @@
     }
 
     let modes = ["checks off", "checks on, nobody asks", "polled hard (200 a second)"];
-    let mut sums: Vec<(Times, f64)> = modes.iter().map(|_| (Times::new(), 0.0)).collect();
+    let mut sums: Vec<(Times, f64)> = modes.iter().map(|_| (Times::default(), 0.0)).collect();
     for round in 0..rounds {
         for k in 0..modes.len() {
             // Each mode is first, second and last in turn.
@@ -129,8 +129,8 @@
     );
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for (name, (times, ticks)) in modes.iter().zip(&sums) {
-        let rate = times.len() as f64 / (SLICE.as_secs_f64() * f64::from(rounds));
-        println!("| {name} | {rate:.0} | {} | {:.1} |", times.row(), ticks * 10_000.0 / times.len() as f64);
+        let rate = times.count() as f64 / (SLICE.as_secs_f64() * f64::from(rounds));
+        println!("| {name} | {rate:.0} | {} | {:.1} |", times.row(), ticks * 10_000.0 / times.count() as f64);
     }
     Ok(())
 }
--- a/benches/src/crowd.rs
+++ b/benches/src/crowd.rs
@@ -25,7 +25,7 @@
     let agent = proxy.checks("agent").ok_or("no agent")?;
     let until = Instant::now() + Duration::from_secs(seconds);
     let (served, failed, missed) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
-    let times = Mutex::new((Times::new(), Times::new()));
+    let times = Mutex::new((Times::default(), Times::default()));
     thread::scope(|scope| {
         for n in 0..THREADS {
             let (served, failed) = (&served, &failed);
@@ -74,7 +74,7 @@
                     0 => (Check::Http("/ready".into()), http),
                     _ => (Check::Agent("file-entry".into()), agent),
                 };
-                let mut own = Times::new();
+                let mut own = Times::default();
                 thread::sleep(Duration::from_millis(5 * n as u64));
                 while Instant::now() < until {
                     let start = Instant::now();
--- a/benches/src/hangs.rs
+++ b/benches/src/hangs.rs
@@ -99,8 +99,8 @@
     let ask = |group: usize| {
         check(at, &Check::Http(format!("/group/{group}/write")), PATIENCE).is_ok_and(|told| told.up)
     };
-    let mut told = Times::new();
-    let mut acted = Times::new();
+    let mut told = Times::default();
+    let mut acted = Times::default();
     let cycles = hangs.div_ceil(GROUPS);
     thread::scope(|scope| {
         if case.traffic {
@@ -120,7 +120,7 @@
             let rules = Rules { every: Duration::from_millis(500), timeout: PATIENCE, rise: 1, fall: 2 };
             let balancer =
                 Balancer::start(&[(agents, clients)], &Check::Agent(format!("group={group} write")), &rules);
-            let (mut told, mut acted) = (Times::new(), Times::new());
+            let (mut told, mut acted) = (Times::default(), Times::default());
             for _ in 0..cycles {
                 let start = Instant::now();
                 while !ask(group) || !balancer.wait(0, true, Duration::ZERO) {
--- a/benches/src/main.rs
+++ b/benches/src/main.rs
@@ -77,13 +77,15 @@
 /// Times in microseconds.
 pub struct Times(Histogram<u64>);
 
-impl Times {
-    pub fn new() -> Times {
+impl Default for Times {
+    fn default() -> Times {
         let mut times = Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits are allowed"));
         times.auto(true);
         Times(times)
     }
+}
 
+impl Times {
     pub fn add(&mut self, time: Duration) {
         let _ = self.0.record(time.as_micros() as u64);
     }
@@ -99,7 +101,7 @@
         format!("{} | {} | {} | {}", self.0.len(), at(0.5), at(0.99), ms(self.0.max()))
     }
 
-    pub fn len(&self) -> u64 {
+    pub fn count(&self) -> u64 {
         self.0.len()
     }
 }
--- a/standins/src/balancer.rs
+++ b/standins/src/balancer.rs
@@ -31,7 +31,7 @@
     let mut stream = TcpStream::connect_timeout(&address, timeout)?;
     stream.set_read_timeout(Some(timeout))?;
     match how {
-        Check::Agent(line) => write!(stream, "{line}\n")?,
+        Check::Agent(line) => writeln!(stream, "{line}")?,
         Check::Http(path) => {
             write!(stream, "GET {path} HTTP/1.1\r\nHost: proxy\r\nConnection: close\r\n\r\n")?;
         }
