Judge silence by one time with probes and one without; prove idle groups sooner

Cause: measured, a hang was told after 1.68 s with probes, for answers that a hang held back had been learnt as slow ones; without probes a first heavy request of 1.1 s cost two claims, for nothing had been learnt yet; and an idle group's hang took 2.64 s, with a probe each second behind a threshold that had risen. Change: what answers took lately is not learnt any more.

--- a/health/src/evidence.rs
+++ b/health/src/evidence.rs
@@ -12,8 +12,6 @@
 const FORGIVEN: Micros = 5_000_000;
 /// Writes are to be tried again so long after the last one that was not answered.
 const TRIED_AGAIN: Micros = 10_000_000;
-/// The slowest answer counts half as much after this time.
-const PACE_HALVES: Micros = 20_000_000;
 
 /// Why nothing is to be expected of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,8 +43,6 @@
     resets: u32,
     writes: u32,
     writes_at: Micros,
-    slowest: Micros,
-    slowest_at: Micros,
 }
 
 impl Evidence {
@@ -66,8 +62,6 @@
             resets: 0,
             writes: 0,
             writes_at: now,
-            slowest: 0,
-            slowest_at: now,
         }
     }
 
@@ -106,13 +100,9 @@
     }
 
     /// It came back with an answer of any kind.
-    pub fn answered(&mut self, now: Micros, spent: Micros, write: bool) {
+    pub fn answered(&mut self, now: Micros, write: bool) {
         self.back(now);
         self.alive(now);
-        let slowest = self.pace(now);
-        if spent >= slowest {
-            (self.slowest, self.slowest_at) = (spent, now);
-        }
         if write {
             self.writes = 0;
         }
@@ -151,21 +141,11 @@
         self.silent + self.since.map_or(0, |since| now - since)
     }
 
-    /// The longest that its answers took, the older the less.
-    fn pace(&self, now: Micros) -> Micros {
-        self.slowest >> ((now - self.slowest_at) / PACE_HALVES).clamp(0, 40)
-    }
-
-    /// The silence that speaks against it. It stays the same while the silence lasts.
-    fn threshold(&self, s: &Settings) -> Micros {
-        (self.pace(self.since.unwrap_or(self.last_out)) * 3 / 2).clamp(s.hang_least, s.hang_most)
-    }
-
     /// What speaks against its taking writes.
     pub fn against(&self, now: Micros, s: &Settings) -> Option<Against> {
         if self.gone.is_some() {
             Some(Against::Gone)
-        } else if self.silence(now) >= self.threshold(s) {
+        } else if self.silence(now) >= s.silent_after() {
             Some(Against::Silent)
         } else if self.writes >= WRITES && now - self.writes_at < TRIED_AGAIN {
             Some(Against::WritesUnanswered)
@@ -182,8 +162,8 @@
 
     /// When time alone will change what is said above.
     pub fn next(&self, now: Micros, s: &Settings) -> Option<Micros> {
-        let silent = self.since.filter(|_| self.silence(now) < self.threshold(s));
-        let silent = silent.map(|since| since + self.threshold(s) - self.silent);
+        let silent = self.since.filter(|_| self.silence(now) < s.silent_after());
+        let silent = silent.map(|since| since + s.silent_after() - self.silent);
         let forgiven = (self.out == 0 && self.dead(now, s)).then_some(self.last_out + FORGIVEN);
         let again = (self.writes >= WRITES).then_some(self.writes_at + TRIED_AGAIN).filter(|at| *at > now);
         [silent, forgiven, again].into_iter().flatten().min()
--- a/health/src/monitor.rs
+++ b/health/src/monitor.rs
@@ -23,8 +23,8 @@
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum How {
-    /// With an answer of any kind, an error too, after this time.
-    Answered { spent: Micros },
+    /// With an answer of any kind, an error too.
+    Answered,
     /// Its time ran out.
     Unanswered,
     /// No process took the connection.
@@ -258,7 +258,7 @@
                 let Some(watched) = self.servers.get_mut(&server) else { return };
                 if watched.probing.take().is_none() {
                     // It was taken for lost; but a sign of life is one.
-                    if !matches!(how, How::Answered { .. }) {
+                    if !matches!(how, How::Answered) {
                         return;
                     }
                     watched.evidence.alive(now);
@@ -291,7 +291,7 @@
                 if let Some(members) = self.groups.get_mut(&group)
                     && std::mem::replace(&mut members.held, since) != since
                 {
-                    let told = since.map_or(now, |since| since + self.settings.hang_most);
+                    let told = since.map_or(now, |since| since + self.settings.silent_after());
                     self.by(told.max(now));
                 }
             }
@@ -357,7 +357,7 @@
         let e = &mut watched.evidence;
         let doubted = e.owes || e.is_gone();
         match how {
-            How::Answered { spent } => e.answered(now, spent, write),
+            How::Answered => e.answered(now, write),
             How::Unanswered => e.unanswered(now, write),
             How::Refused => e.refused(now),
             How::Reset => e.reset(now),
@@ -366,7 +366,7 @@
         let group = e.group;
         match how {
             // The ordinary case costs no step.
-            How::Answered { .. } => {
+            How::Answered => {
                 if doubted && self.groups.get(&group).is_some_and(|g| !g.write.able || !g.read.able) {
                     self.look(now);
                 }
@@ -417,7 +417,7 @@
             if let Some((_, at)) = members.proof {
                 by(Some(at + s.window).filter(|at| *at > now));
             }
-            by(members.held.map(|since| since + s.hang_most).filter(|at| *at > now));
+            by(members.held.map(|since| since + s.silent_after()).filter(|at| *at > now));
             let (able, reason) = reads(now, members, &self.servers, s);
             if members.read.see(now, able, reason, s) {
                 self.changes.push(Change::Claim { group, kind: Kind::Read, able, reason });
@@ -459,7 +459,7 @@
         let dead = |w: &Watched| w.evidence.against(now, s).is_some_and(|a| a != Against::WritesUnanswered);
         let (tried, unheard) = tried.fold((0, 0), |n, w| (n.0 + 1, n.1 + usize::from(dead(w))));
         let lately = self.servers.values().filter_map(|w| w.evidence.heard).max();
-        let unheard = tried > 0 && unheard == tried && lately.is_none_or(|at| now - at >= s.hang_most);
+        let unheard = tried > 0 && unheard == tried && lately.is_none_or(|at| now - at >= s.silent_after());
         let blind = now >= deaf && unheard;
         let seeing = if blind { Reason::Blind } else { Reason::Proven };
         self.seeing.see(now, !blind, seeing, s);
@@ -533,7 +533,8 @@
         // Where something is tried in vain, blindness comes with the end of discovery's time.
         let deaf = (unheard && deaf > now).then_some(deaf);
         // And with the last sign of life growing old.
-        let quiet = lately.map(|at| at + s.hang_most).filter(|at| *at > now && now >= deaf.unwrap_or(now));
+        let quiet =
+            lately.map(|at| at + s.silent_after()).filter(|at| *at > now && now >= deaf.unwrap_or(now));
         [self.seeing.due(s), self.coping.due(s), deaf, quiet].into_iter().flatten().min()
     }
 
@@ -609,7 +610,7 @@
 
 /// What is seen of a group's writes.
 fn writes(now: Micros, members: &Members, servers: &Servers, s: &Settings) -> (bool, Reason) {
-    if members.held.is_some_and(|since| now - since >= s.hang_most) {
+    if members.held.is_some_and(|since| now - since >= s.silent_after()) {
         return (false, Reason::WritesHeld);
     }
     let unproven = if s.idle == Idle::Trust { (true, Reason::Trusted) } else { (false, Reason::Unproven) };
--- a/health/src/settings.rs
+++ b/health/src/settings.rs
@@ -98,10 +98,10 @@
     /// Being able, and not being able, is held at least so long.
     pub hold_able: Micros,
     pub hold_unable: Micros,
-    /// A server that owes answers and gives no sign of life is silent after 1.5 times the longest that its answers took
-    /// lately, but not sooner and not later than these.
-    pub hang_least: Micros,
-    pub hang_most: Micros,
+    /// A server that owes answers and gives no sign of life for so long is silent. The shorter time counts where probes
+    /// tell slow from silent.
+    pub hang: Micros,
+    pub hang_probed: Micros,
     /// Discovery that was not heard for so long is lost.
     pub discovery_after: Micros,
     /// From this pressure on the proxy is overloaded.
@@ -126,8 +126,8 @@
             rise_most: 30_000_000,
             hold_able: 500_000,
             hold_unable: 1_000_000,
-            hang_least: 1_000_000,
-            hang_most: 1_700_000,
+            hang: 1_700_000,
+            hang_probed: 1_000_000,
             discovery_after: 30_000_000,
             overload_at: 0.98,
             probes: None,
@@ -161,6 +161,11 @@
 const TURNS: Micros = 100_000;
 
 impl Settings {
+    /// The silence that speaks against a server.
+    pub fn silent_after(&self) -> Micros {
+        if self.probes.is_some() { self.hang_probed } else { self.hang }
+    }
+
     /// What the options' schema cannot say: sums and orders of values.
     pub fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
@@ -169,13 +174,17 @@
                 faults.push(Fault { field, message });
             }
         };
-        must(self.hang_least <= self.hang_most, "hang-least-ms", "above hang-most-ms");
+        must(self.hang_probed <= self.hang, "hang-probed-ms", "above hang-ms");
         must(
-            self.hang_most + self.fall + TURNS <= TOLD,
-            "hang-most-ms",
+            self.hang + self.fall + TURNS <= TOLD,
+            "hang-ms",
             "with fall-ms, a hang would be told later than after 1.9 s",
         );
-        must(self.hold_able <= self.hang_least, "hold-able-ms", "above hang-least-ms");
+        must(
+            self.hold_able <= self.silent_after(),
+            "hold-able-ms",
+            "above the time after which a hang is told",
+        );
         must(self.rise <= self.rise_most, "rise-ms", "above rise-most-ms");
         must(self.weight.knee < self.weight.hot, "knee", "not below hot");
         must(self.weight.hot < self.overload_at, "hot", "not below overload-at");
@@ -186,11 +195,10 @@
         );
         if let Some(probes) = &self.probes {
             must(probes.every * 2 <= self.window, "every-ms", "above half of window-ms");
-            must(probes.suspect < self.hang_least, "suspect-ms", "not below hang-least-ms");
             must(
-                probes.suspect + probes.timeout <= self.hang_most,
+                probes.suspect + probes.timeout <= self.hang_probed,
                 "timeout-ms",
-                "with suspect-ms, above hang-most-ms: a slow server would be told as a silent one",
+                "with suspect-ms, above hang-probed-ms: a slow server would be told as a silent one",
             );
             must(probes.group_per_s <= probes.whole_per_s, "group-per-s", "above whole-per-s");
         }
--- a/options/src/lib.rs
+++ b/options/src/lib.rs
@@ -279,8 +279,8 @@
             ("rise-most-ms", &mut s.rise_most),
             ("hold-able-ms", &mut s.hold_able),
             ("hold-unable-ms", &mut s.hold_unable),
-            ("hang-least-ms", &mut s.hang_least),
-            ("hang-most-ms", &mut s.hang_most),
+            ("hang-probed-ms", &mut s.hang_probed),
+            ("hang-ms", &mut s.hang),
             ("discovery-after-ms", &mut s.discovery_after),
         ] {
             self.ms(node, name, into);
--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -452,7 +452,7 @@
         let (request, number) = attempt;
         let write = self.writes(class);
         if let Some(watch) = &mut self.watch {
-            watch.ended(now, server, write, &reply, now - sent);
+            watch.ended(now, server, write, &reply);
         }
         if let Some(entry) = self.requests.get_mut(&request) {
             entry.out = entry.out.saturating_sub(1);
@@ -493,7 +493,7 @@
 
     pub fn probed(&mut self, now: Micros, server: ServerId, reply: &Reply) {
         if let Some(watch) = &mut self.watch {
-            watch.ended(now, server, false, reply, 0);
+            watch.ended(now, server, false, reply);
         }
         let report = credible(reply.report, now);
         self.handle(now, Event::Probed { server, ending: reply.ending, report });
--- a/proxy/src/health.rs
+++ b/proxy/src/health.rs
@@ -35,10 +35,10 @@
 }
 
 /// How an attempt ended, as far as it tells of the server.
-fn how(reply: &Reply, spent: Micros) -> How {
+fn how(reply: &Reply) -> How {
     match reply.ending {
         // Each of these was said by the server itself.
-        Ending::Ok | Ending::Error | Ending::Full | Ending::Miss => How::Answered { spent },
+        Ending::Ok | Ending::Error | Ending::Full | Ending::Miss => How::Answered,
         Ending::Timeout => How::Unanswered,
         Ending::ConnectFailed if reply.refused => How::Refused,
         // A machine that does not answer a connect is judged like one that breaks connections: by some in a row.
@@ -82,14 +82,14 @@
         self.monitor.fact(now, Fact::Sent { server: server(id) });
     }
 
-    pub fn ended(&mut self, now: Micros, id: ServerId, write: bool, reply: &Reply, spent: Micros) {
-        let (how, role) = (how(reply, spent), role(reply, write));
+    pub fn ended(&mut self, now: Micros, id: ServerId, write: bool, reply: &Reply) {
+        let (how, role) = (how(reply), role(reply, write));
         self.monitor.fact(now, Fact::Ended { server: server(id), write, how, role });
     }
 
     /// A probe that the monitor asked for came back.
     pub fn checked(&mut self, now: Micros, id: ServerId, reply: &Reply) {
-        let (how, role) = (how(reply, 0), role(reply, false));
+        let (how, role) = (how(reply), role(reply, false));
         self.monitor.fact(now, Fact::Probed { server: server(id), how, role });
     }
 
