--- a/health/src/agent.rs
+++ b/health/src/agent.rs
@@ -46,7 +46,7 @@
 }
 
 /// Words in any order: a class's name, `class=NAME`, `group=N`, `read`, `write`; nothing asks for the whole.
-fn question(line: &[u8]) -> Asked {
+pub fn question(line: &[u8]) -> Asked {
     let line = std::str::from_utf8(line).map_err(|_| "not-text")?;
     let mut asked = Question::default();
     let words = line.split(|c: char| c.is_ascii_whitespace() || c == ',' || c == ';');
--- a/health/src/lib.rs
+++ b/health/src/lib.rs
@@ -2,8 +2,8 @@
 //! machines of the protocols in which balancers ask.
 //!
 //! [`Monitor`] is fed [`Fact`]s with their times and holds one [`Verdict`]; whoever drives it calls
-//! [`Monitor::step`] at [`Monitor::next_change`], and sends the probes it asks for. [`agent`], [`http`] and [`grpc`] turn
-//! calls into [`Question`]s and verdicts into replies.
+//! [`Monitor::step`] at [`Monitor::next_change`], and sends the probes it asks for. [`agent`] and [`http`] turn calls
+//! into [`Question`]s and verdicts into replies.
 //!
 //! It owns the evidence about servers, the claims made from it, the weight and the probes' budget. It never routes,
 //! refuses or delays a request, and knows no socket, no PostgreSQL and no type of another crate.
--- a/health/src/settings.rs
+++ b/health/src/settings.rs
@@ -145,7 +145,7 @@
 
 impl Default for Probing {
     fn default() -> Probing {
-        Probing { every: 5_000_000, suspect: 400_000, timeout: 500_000, group_per_s: 4.0, whole_per_s: 20.0 }
+        Probing { every: 800_000, suspect: 400_000, timeout: 500_000, group_per_s: 4.0, whole_per_s: 20.0 }
     }
 }
 
--- a/options/src/lib.rs
+++ b/options/src/lib.rs
@@ -26,6 +26,7 @@
 pub struct Health {
     pub http: Option<Http>,
     pub agent: Option<Agent>,
+    pub grpc: Option<Http>,
     /// Classes and seed are the program's to fill in.
     pub settings: Settings,
     /// After SIGTERM, draining is told for so long before the listener closes.
@@ -210,6 +211,11 @@
             self.ms(node, "idle-ms", &mut http.idle);
             Some(http)
         });
+        let grpc = self.child(node, "grpc").and_then(|node| {
+            let mut grpc = Http { door: self.door(node)?, idle: 65_000_000 };
+            self.ms(node, "idle-ms", &mut grpc.idle);
+            Some(grpc)
+        });
         let agent = self.child(node, "agent").and_then(|node| {
             let mut agent = Agent { door: self.door(node)?, ask: 20_000, maxconn: false };
             self.ms(node, "ask-ms", &mut agent.ask);
@@ -249,17 +255,18 @@
             let at = parts.into_iter().flatten().find(written).unwrap_or(node);
             self.fault(at, format!("{}: {}", fault.field, fault.message));
         }
-        if http.is_none() && agent.is_none() {
-            self.fault(node, "neither http nor agent: nobody could ask");
+        if http.is_none() && agent.is_none() && grpc.is_none() {
+            self.fault(node, "neither http, agent nor grpc: nobody could ask");
         }
-        if let (Some(http), Some(agent)) = (&http, &agent)
-            && meet(http.door.listen, agent.door.listen)
-        {
-            let line = agent.door.line;
-            let message = format!("listen: {} is used by http too", agent.door.listen);
-            self.faults.push(Fault { line, element: "agent".into(), message });
+        let health = Health { http, agent, grpc, settings, lead };
+        let doors: Vec<_> = health.doors().collect();
+        for (n, (element, door)) in doors.iter().enumerate() {
+            if let Some((other, _)) = doors[..n].iter().find(|(_, other)| meet(other.listen, door.listen)) {
+                let message = format!("listen: {} is used by {other} too", door.listen);
+                self.faults.push(Fault { line: door.line, element: (*element).into(), message });
+            }
         }
-        Some(Health { http, agent, settings, lead })
+        Some(health)
     }
 
     fn claims(&mut self, node: NodeId, s: &mut Settings) {
@@ -288,6 +295,16 @@
     }
 }
 
+impl Health {
+    /// Every address where balancers call, and the element that names it.
+    pub fn doors(&self) -> impl Iterator<Item = (&'static str, &Door)> {
+        let http = self.http.as_ref().map(|http| ("http", &http.door));
+        let agent = self.agent.as_ref().map(|agent| ("agent", &agent.door));
+        let grpc = self.grpc.as_ref().map(|grpc| ("grpc", &grpc.door));
+        http.into_iter().chain(agent).chain(grpc)
+    }
+}
+
 impl Options {
     /// Descriptors that are to be kept for what is switched on here: callers and listeners.
     pub fn descriptors(&self) -> usize {
@@ -295,9 +312,7 @@
     }
 
     fn doors(&self) -> impl Iterator<Item = (&'static str, &Door)> {
-        let http = self.health.as_ref().and_then(|h| h.http.as_ref()).map(|http| ("http", &http.door));
-        let agent = self.health.as_ref().and_then(|h| h.agent.as_ref()).map(|agent| ("agent", &agent.door));
-        http.into_iter().chain(agent)
+        self.health.iter().flat_map(Health::doors)
     }
 
     /// More descriptors than may be spared of so many.
--- a/options/tests/faults.rs
+++ b/options/tests/faults.rs
@@ -27,31 +27,31 @@
 #[test]
 fn faults_name_line_and_element() {
     for (old, new, line, element, says) in [
-        ("<probes", "<probs", 12, "", "probs"),
-        ("every-ms=\"800\"", "each-ms=\"5000\"", 12, "probes", "each-ms"),
-        ("every-ms=\"800\"", "every-ms=\"often\"", 12, "probes", "often"),
-        ("every-ms=\"800\"", "every-ms=\"9\"", 12, "probes", "9"),
+        ("<probes", "<probs", 13, "", "probs"),
+        ("every-ms=\"800\"", "each-ms=\"5000\"", 13, "probes", "each-ms"),
+        ("every-ms=\"800\"", "every-ms=\"often\"", 13, "probes", "often"),
+        ("every-ms=\"800\"", "every-ms=\"9\"", 13, "probes", "9"),
         ("callers=\"64\"", "callers=\"2\"", 6, "http", "2"),
-        ("idle=\"trust\"", "idle=\"maybe\"", 8, "claims", "maybe"),
+        ("idle=\"trust\"", "idle=\"maybe\"", 9, "claims", "maybe"),
         ("127.0.0.1:7081", "localhost:7081", 6, "http", "localhost"),
         ("127.0.0.1:7081", "127.0.0.1:70810", 6, "http", "listen"),
         ("listen=\"127.0.0.1:7081\" ", "", 6, "http", "listen"),
         ("127.0.0.1:7082", "127.0.0.1:7081", 7, "agent", "used by http"),
         ("127.0.0.1:7082", "0.0.0.0:7081", 7, "agent", "used by http"),
-        ("hang-ms=\"1700\"", "hang-ms=\"1900\"", 8, "claims", "1.9 s"),
-        ("idle=\"trust\"", "idle=\"trust\">text</claims><claims", 8, "", ""),
-        ("every-ms=\"800\"", "every-ms=\"8000\"", 12, "probes", "half of window-ms"),
-        ("knee=\"0.6\"", "knee=\"0.96\"", 13, "weight", "not below hot"),
-        ("<stopping", "<health/><stopping", 14, "health", ""),
-        ("</health>", "", 16, "file", "not XML"),
-        ("<birchreach-options>", "<options>", 16, "file", "not XML"),
+        ("hang-ms=\"1700\"", "hang-ms=\"1900\"", 9, "claims", "1.9 s"),
+        ("idle=\"trust\"", "idle=\"trust\">text</claims><claims", 9, "", ""),
+        ("every-ms=\"800\"", "every-ms=\"8000\"", 13, "probes", "half of window-ms"),
+        ("knee=\"0.6\"", "knee=\"0.96\"", 14, "weight", "not below hot"),
+        ("<stopping", "<health/><stopping", 15, "health", ""),
+        ("</health>", "", 17, "file", "not XML"),
+        ("<birchreach-options>", "<options>", 17, "file", "not XML"),
     ] {
         let faults = faults(old, new);
         let start = format!("line {line}: {element}");
         assert!(faults.iter().any(|f| f.starts_with(&start) && f.contains(says)), "{new}: {faults:?}");
     }
     let two = EXAMPLE.replace("callers=\"64\"", "callers=\"2\"");
-    assert_eq!(parse(&two).unwrap_err().len(), 2, "all of them come out");
+    assert_eq!(parse(&two).unwrap_err().len(), 3, "all of them come out");
 }
 
 #[test]
@@ -66,7 +66,7 @@
     let nobody = "<birchreach-options>\n<health/>\n</birchreach-options>";
     assert_eq!(
         parse(nobody).unwrap_err()[0].to_string(),
-        "line 2: health: neither http nor agent: nobody could ask"
+        "line 2: health: neither http, agent nor grpc: nobody could ask"
     );
 }
 
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod core;
 mod discovery;
+mod grpc;
 mod health;
 mod log;
 mod net;
--- a/proxy/src/net/checks.rs
+++ b/proxy/src/net/checks.rs
@@ -8,6 +8,7 @@
 use super::pool::Cx;
 use super::sources::Source;
 use super::stream;
+use crate::grpc;
 use birchreach::{Micros, ServerId};
 use birchreach_health::{agent, http};
 use birchreach_options::{Door, Health};
@@ -32,6 +33,7 @@
 enum Kind {
     Http,
     Agent,
+    Grpc,
 }
 
 impl Kind {
@@ -39,6 +41,7 @@
         match self {
             Kind::Http => Source::HttpDoor,
             Kind::Agent => Source::AgentDoor,
+            Kind::Grpc => Source::GrpcDoor,
         }
     }
 
@@ -46,6 +49,7 @@
         match self {
             Kind::Http => "http",
             Kind::Agent => "agent",
+            Kind::Grpc => "grpc",
         }
     }
 }
@@ -54,6 +58,7 @@
     Http(http::Caller),
     /// And its reply, once it is made.
     Agent(agent::Caller, Option<Vec<u8>>),
+    Grpc(Box<grpc::Caller>),
 }
 
 struct Caller {
@@ -92,7 +97,8 @@
 fn doors(options: &Health) -> impl Iterator<Item = (Kind, &Door)> {
     let http = options.http.as_ref().map(|http| (Kind::Http, &http.door));
     let agent = options.agent.as_ref().map(|agent| (Kind::Agent, &agent.door));
-    http.into_iter().chain(agent)
+    let grpc = options.grpc.as_ref().map(|grpc| (Kind::Grpc, &grpc.door));
+    http.into_iter().chain(agent).chain(grpc)
 }
 
 fn listen(address: SocketAddr, shared: bool) -> std::io::Result<TcpListener> {
@@ -261,6 +267,7 @@
         let machine = match kind {
             Kind::Http => Machine::Http(http::Caller::default()),
             Kind::Agent => Machine::Agent(agent::Caller::default(), None),
+            Kind::Grpc => Machine::Grpc(Box::default()),
         };
         slot.insert(Caller { stream, kind, machine, serial: self.serial, active: cx.now });
         if let Some(agent) =
@@ -290,6 +297,7 @@
         let over = match &mut c.machine {
             Machine::Http(_) => serve_http(cx, c),
             Machine::Agent(..) => serve_agent(cx, c, options),
+            Machine::Grpc(_) => serve_grpc(cx, c),
         };
         match over {
             Serve::Over(reason) => self.close(cx, key, reason),
@@ -303,16 +311,39 @@
         self.listening.iter_mut().for_each(|l| l.waiting = true);
         let Some(options) = &self.options else { return };
         let idle = options.http.as_ref().map_or(0, |http| http.idle);
+        let grpc_idle = options.grpc.as_ref().map_or(0, |grpc| grpc.idle);
+        // Watches may be still for long: their peers are asked whether they are there.
+        let mut pinged = Vec::new();
+        for (key, c) in &mut self.slots {
+            if let Machine::Grpc(m) = &mut c.machine
+                && m.watches()
+                && cx.now - c.active >= grpc_idle / 2
+            {
+                m.ping();
+                pinged.push(key);
+            }
+        }
         let silent = |c: &Caller| {
             let door = doors(options).find(|(kind, _)| *kind == c.kind).map_or(0, |(_, door)| door.silent);
             let (long, reason) = match &c.machine {
                 Machine::Http(m) if m.calls() > 0 && !m.halfway() && m.out.is_empty() => (idle, "idle"),
+                Machine::Grpc(m) if m.events() > 0 && (m.idle() || m.watches()) && !m.has_out() => {
+                    (grpc_idle, "idle")
+                }
                 _ => (door, "silent"),
             };
             (cx.now - c.active >= long).then_some(reason)
         };
         let old: Vec<_> = self.slots.iter().filter_map(|(key, c)| Some((key, silent(c)?))).collect();
         old.into_iter().for_each(|(key, reason)| self.close(cx, key, reason));
+        pinged.into_iter().for_each(|key| self.ready(cx, key));
+    }
+
+    /// Something is told otherwise from now on: who watches hears of it.
+    pub fn changed(&mut self, cx: &mut Cx) {
+        let watches = |c: &Caller| matches!(&c.machine, Machine::Grpc(m) if m.watches());
+        let keys: Vec<usize> = self.slots.iter().filter(|(_, c)| watches(c)).map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.ready(cx, key));
     }
 
     fn close(&mut self, cx: &mut Cx, key: usize, reason: &'static str) {
@@ -385,6 +416,52 @@
     }
 }
 
+fn serve_grpc(cx: &mut Cx, c: &mut Caller) -> Serve {
+    let Machine::Grpc(machine) = &mut c.machine else { return Serve::Waits };
+    let before = machine.events();
+    let read = if machine.hungry() {
+        let most = PIECE.min(cx.scratch.len());
+        stream::read(&mut c.stream, &mut cx.scratch[..most], |bytes| {
+            machine.feed(bytes);
+            machine.hungry()
+        })
+    } else {
+        Ok(false)
+    };
+    if read == Err(stream::Ended::Reset) {
+        return Serve::Over("reset");
+    }
+    if read.is_err() {
+        machine.ended();
+    }
+    let now = cx.now;
+    let Some(watch) = &mut cx.core.watch else { return Serve::Over("off") };
+    if watch.monitor.next_change() <= now {
+        watch.monitor.step(now);
+    }
+    let more = machine.run(watch.monitor.verdict());
+    let out = machine.take_out();
+    let mut at = 0;
+    while at < out.len() {
+        match c.stream.write(&out[at..]) {
+            Ok(n) => at += n,
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
+            Err(_) => return Serve::Over("reset"),
+        }
+    }
+    machine.put_back(&out[at..]);
+    if machine.events() > before {
+        c.active = now;
+    }
+    if machine.over() {
+        return Serve::Over("closed");
+    }
+    // What did not fit into the output before may now.
+    let unread = matches!(read, Ok(false)) || more || !out.is_empty();
+    if unread && !machine.has_out() { Serve::More } else { Serve::Waits }
+}
+
 fn serve_agent(cx: &mut Cx, c: &mut Caller, options: Option<&Health>) -> Serve {
     let Machine::Agent(machine, reply) = &mut c.machine else { return Serve::Waits };
     let mut asked = None;
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -238,7 +238,9 @@
             match Source::of(event.token()) {
                 Source::Door => self.door.knock(),
                 Source::Operator(key) => self.operator(key),
-                source @ (Source::HttpDoor | Source::AgentDoor) => self.checks.knock(source),
+                source @ (Source::HttpDoor | Source::AgentDoor | Source::GrpcDoor) => {
+                    self.checks.knock(source)
+                }
                 Source::Check(key) => self.with_checks(|checks, cx| checks.ready(cx, key)),
                 _ => {}
             }
@@ -637,6 +639,7 @@
         let next = watch.monitor.next_change();
         let changes = watch.monitor.changes();
         let probes = watch.monitor.probes();
+        let changed = !changes.is_empty();
         for change in changes {
             match change {
                 Change::State { from, to, reason } => {
@@ -648,6 +651,9 @@
                 }
             }
         }
+        if changed {
+            self.with_checks(Checks::changed);
+        }
         if self.health.timer.is_none_or(|at| next < at) {
             self.health.timer = Some(next);
             self.timers.set(next, Due::Health);
--- a/proxy/src/net/sources.rs
+++ b/proxy/src/net/sources.rs
@@ -17,6 +17,7 @@
     /// The listeners for balancers' checks.
     HttpDoor,
     AgentDoor,
+    GrpcDoor,
     Client(usize),
     Database(usize),
     Operator(usize),
@@ -26,7 +27,8 @@
 use Source::*;
 
 /// Sources of which there is one, by their tokens.
-const SINGLE: [Source; 9] = [Listener, Signals, Discovery, Door, Heirs, Elder, Heir, HttpDoor, AgentDoor];
+const SINGLE: [Source; 10] =
+    [Listener, Signals, Discovery, Door, Heirs, Elder, Heir, HttpDoor, AgentDoor, GrpcDoor];
 /// The others take turns behind them: place k of kind n has the token SINGLE + k * SLABS + n.
 const SLABS: [fn(usize) -> Source; 4] = [Client, Database, Operator, Check];
 
@@ -52,7 +54,7 @@
     /// Operators and balancers come before all else, however many others are ready: they are few, and what they ask
     /// matters most when there is much to do.
     pub fn first(self) -> bool {
-        matches!(self, Door | Operator(_) | HttpDoor | AgentDoor | Check(_))
+        matches!(self, Door | Operator(_) | HttpDoor | AgentDoor | GrpcDoor | Check(_))
     }
 }
 
--- /dev/null
+++ b/proxy/tests/grpc.rs
@@ -0,0 +1,177 @@
+//! gRPC health on a real process: h2's client, polled by hand over a loopback socket.
+
+use birchreach_standins::process::PATIENCE;
+use birchreach_standins::rig::Rig;
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::client::{Connection, SendRequest};
+use http::{HeaderMap, Request};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker};
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A socket that does not block, asked again and again.
+struct Socket(TcpStream);
+
+fn ready<T>(result: std::io::Result<T>) -> Poll<std::io::Result<T>> {
+    match result {
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
+        other => Poll::Ready(other),
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(mut self: Pin<&mut Self>, _: &mut Context, buf: &mut ReadBuf) -> Poll<std::io::Result<()>> {
+        let mut bytes = vec![0; buf.remaining().min(4096)];
+        ready(self.0.read(&mut bytes)).map(|read| read.map(|n| buf.put_slice(&bytes[..n])))
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context, bytes: &[u8]) -> Poll<std::io::Result<usize>> {
+        ready(self.0.write(bytes))
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+struct Client {
+    send: SendRequest<Bytes>,
+    connection: Connection<Socket>,
+}
+
+impl Client {
+    fn connect(at: SocketAddr) -> Client {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let mut handshake = pin!(h2::client::handshake(Socket(stream)));
+        let (send, connection) = wait(|cx| handshake.as_mut().poll(cx)).unwrap();
+        Client { send, connection }
+    }
+
+    fn wait<T>(&mut self, mut poll: impl FnMut(&mut Context) -> Poll<T>) -> T {
+        wait(|cx| {
+            let _ = Pin::new(&mut self.connection).poll(cx);
+            poll(cx)
+        })
+    }
+
+    /// Sends a message to a method; headers and body of the reply.
+    fn call(&mut self, method: &str, message: &[u8], kind: &str) -> (HeaderMap, RecvStream) {
+        let request = Request::post(format!("http://proxy/grpc.health.v1.Health/{method}"))
+            .header("content-type", kind)
+            .header("te", "trailers")
+            .body(())
+            .unwrap();
+        let (mut reply, mut body) = self.send.send_request(request, false).unwrap();
+        let mut frame = vec![0];
+        frame.extend((message.len() as u32).to_be_bytes());
+        frame.extend(message);
+        body.send_data(frame.into(), true).unwrap();
+        let response = self.wait(|cx| Pin::new(&mut reply).poll(cx)).unwrap();
+        let (head, body) = response.into_parts();
+        (head.headers, body)
+    }
+
+    /// The status of a service, or the code of the refusal.
+    fn check(&mut self, service: &str) -> Result<u8, String> {
+        let (headers, mut body) = self.call("Check", &named(service), "application/grpc");
+        if let Some(code) = headers.get("grpc-status") {
+            return Err(code.to_str().unwrap().into());
+        }
+        let status = self.next(&mut body).unwrap();
+        let trailers = self.wait(|cx| body.poll_trailers(cx)).unwrap().unwrap();
+        assert_eq!(trailers["grpc-status"], "0");
+        Ok(status)
+    }
+
+    fn next(&mut self, body: &mut RecvStream) -> Option<u8> {
+        let bytes = self.wait(|cx| body.poll_data(cx))?.unwrap();
+        body.flow_control().release_capacity(bytes.len()).unwrap();
+        assert_eq!(bytes[..6], [0, 0, 0, 0, 2, 8], "one message with one number");
+        Some(bytes[6])
+    }
+}
+
+fn named(service: &str) -> Vec<u8> {
+    [&[10, service.len() as u8], service.as_bytes()].concat()
+}
+
+fn wait<T>(mut poll: impl FnMut(&mut Context) -> Poll<T>) -> T {
+    let start = Instant::now();
+    let mut cx = Context::from_waker(Waker::noop());
+    loop {
+        if let Poll::Ready(value) = poll(&mut cx) {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "no reply");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn checks_and_watches_tell_what_the_others_tell() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("grpc");
+    let program = Path::new(env!("CARGO_BIN_EXE_birchreach-proxy"));
+    let rig = Rig::new(2, [127, 88, 100, 1], program, &folder).unwrap();
+    let options = format!(
+        "<birchreach-options><health><grpc listen='{}:0' callers='8' idle-ms='600'/>\
+         <probes every-ms='500' suspect-ms='300' timeout-ms='400'/></health></birchreach-options>",
+        rig.own()
+    );
+    let proxy = rig.start(1, Some(&options), None).unwrap();
+    let at = proxy.checks("grpc").unwrap();
+    let mut client = Client::connect(at);
+    let start = Instant::now();
+    while client.check("file-entry") != Ok(1) {
+        assert!(start.elapsed() < PATIENCE);
+        thread::sleep(Duration::from_millis(20));
+    }
+    for service in ["", "group=1 write", "tariff-lookup", "file-entry group=0"] {
+        assert_eq!(client.check(service), Ok(1), "{service}");
+    }
+    assert_eq!(client.check("none"), Err("5".into()));
+    let (headers, _) = client.call("List", &[], "application/grpc");
+    assert_eq!(headers["grpc-status"], "12");
+    let (headers, _) = client.call("Check", &[0xff; 9], "application/grpc");
+    assert_eq!(headers["grpc-status"], "3");
+    let (headers, _) = client.call("Check", &named("x").repeat(700), "application/grpc");
+    assert_eq!(headers["grpc-status"], "8");
+    let (headers, _) = client.call("Check", &named(""), "text/plain");
+    assert!(headers.get("grpc-status").is_none());
+    // A watch hears each change, and outlives the time for which a connection may rest.
+    let (_, mut watch) = client.call("Watch", &named("group=1 write"), "application/grpc");
+    assert_eq!(client.next(&mut watch), Some(1));
+    let (_, mut nothing) = client.call("Watch", &named("none"), "application/grpc");
+    assert_eq!(client.next(&mut nothing), Some(3));
+    let still = Instant::now();
+    while still.elapsed() < Duration::from_millis(1500) {
+        // Pings are answered.
+        let _ = Pin::new(&mut client.connection).poll(&mut Context::from_waker(Waker::noop()));
+        thread::sleep(Duration::from_millis(5));
+    }
+    rig.groups[1].primary.hang(true);
+    assert_eq!(client.next(&mut watch), Some(2));
+    rig.groups[1].primary.hang(false);
+    assert_eq!(client.next(&mut watch), Some(1));
+    proxy.signal("TERM");
+    assert_eq!(client.next(&mut watch), Some(2));
+    // Noise, silence, and a peer that is gone cost their own connection only.
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff", b""] {
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+    }
+    assert_eq!(client.check("file-entry"), Ok(2));
+}
