Test gRPC health on a real process: checks, watches, refusals, noise

Change: it connects anew, and the noise comes before the watch. Measured: Check, Watch, changes after a hang and its end, draining, five refusals, three kinds of noise pass on a real process.

--- a/proxy/tests/grpc.rs
+++ b/proxy/tests/grpc.rs
@@ -148,6 +148,17 @@
     assert_eq!(headers["grpc-status"], "8");
     let (headers, _) = client.call("Check", &named(""), "text/plain");
     assert!(headers.get("grpc-status").is_none());
+    // Noise, silence, and a peer that is gone cost their own connection only.
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff", b""] {
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+    }
+    // Nor does the one that was still for so long have a place any more.
+    let mut client = Client::connect(at);
+    assert_eq!(client.check("file-entry"), Ok(1));
     // A watch hears each change, and outlives the time for which a connection may rest.
     let (_, mut watch) = client.call("Watch", &named("group=1 write"), "application/grpc");
     assert_eq!(client.next(&mut watch), Some(1));
@@ -165,13 +176,5 @@
     assert_eq!(client.next(&mut watch), Some(1));
     proxy.signal("TERM");
     assert_eq!(client.next(&mut watch), Some(2));
-    // Noise, silence, and a peer that is gone cost their own connection only.
-    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff", b""] {
-        let mut stream = TcpStream::connect(at).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.write_all(bytes).unwrap();
-        let mut rest = Vec::new();
-        let _ = stream.read_to_end(&mut rest);
-    }
     assert_eq!(client.check("file-entry"), Ok(2));
 }
