--- a/proxy/src/net/checks.rs
+++ b/proxy/src/net/checks.rs
@@ -15,7 +15,6 @@
 use mio::Interest;
 use mio::net::{TcpListener, TcpStream};
 use slab::Slab;
-use std::io::Write;
 use std::net::{Shutdown, SocketAddr};
 use tracing::{info, warn};
 
@@ -386,17 +385,7 @@
     let Some(watch) = &core.watch else { return Serve::Over("off") };
     let all = machine.run(now, watch.monitor.verdict(), &|server| core.name(ServerId(server.0)).to_string());
     let waiting = machine.out.len();
-    let written = loop {
-        if machine.out.is_empty() {
-            break Ok(());
-        }
-        match c.stream.write(&machine.out) {
-            Ok(n) => machine.wrote(n),
-            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break Ok(()),
-            Err(e) => break Err(e),
-        }
-    };
+    let written = stream::write_some(&mut c.stream, &machine.out).map(|n| machine.wrote(n));
     // Bytes that make no call whole do not keep a caller: it could go on so for ever.
     if machine.calls() > before.0 || machine.out.len() < waiting {
         c.active = now;
@@ -441,15 +430,7 @@
     }
     let more = machine.run(watch.monitor.verdict());
     let out = machine.take_out();
-    let mut at = 0;
-    while at < out.len() {
-        match c.stream.write(&out[at..]) {
-            Ok(n) => at += n,
-            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
-            Err(_) => return Serve::Over("reset"),
-        }
-    }
+    let Ok(at) = stream::write_some(&mut c.stream, &out) else { return Serve::Over("reset") };
     machine.put_back(&out[at..]);
     if machine.events() > before {
         c.active = now;
@@ -478,16 +459,15 @@
     let Some(bytes) = reply else {
         return if read.is_err() { Serve::Over("reset") } else { Serve::Waits };
     };
-    loop {
-        match c.stream.write(bytes) {
-            Ok(n) if n >= bytes.len() => {
-                let _ = c.stream.shutdown(Shutdown::Write);
-                return Serve::Over("answered");
-            }
-            Ok(n) => drop(bytes.drain(..n)),
-            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Serve::Waits,
-            Err(_) => return Serve::Over("reset"),
+    match stream::write_some(&mut c.stream, bytes) {
+        Err(_) => Serve::Over("reset"),
+        Ok(n) if n < bytes.len() => {
+            bytes.drain(..n);
+            Serve::Waits
+        }
+        Ok(_) => {
+            let _ = c.stream.shutdown(Shutdown::Write);
+            Serve::Over("answered")
         }
     }
 }
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -126,6 +126,16 @@
     yields_heard: bool,
 }
 
+/// The connections' owners, lent out side by side.
+struct Parts<'a> {
+    clients: &'a mut Clients,
+    pool: &'a mut Pool,
+    agent: &'a mut Agent,
+    door: &'a mut Door,
+    checks: &'a mut Checks,
+    twin: &'a mut Twin,
+}
+
 struct Proxy {
     poll: Poll,
     clock: Clock,
@@ -224,15 +234,38 @@
 
 impl Proxy {
     /// Lends the parts out beside one another.
-    fn with<T>(&mut self, act: impl FnOnce(&mut Clients, &mut Pool, &mut Agent, &mut Cx) -> T) -> T {
-        let mut cx = Cx {
+    fn lend(&mut self) -> (Cx<'_>, Parts<'_>) {
+        let cx = Cx {
             now: self.now,
             registry: self.poll.registry(),
             timers: &mut self.timers,
             core: &mut self.core,
             scratch: &mut self.scratch,
         };
-        act(&mut self.clients, &mut self.pool, &mut self.agent, &mut cx)
+        let parts = Parts {
+            clients: &mut self.clients,
+            pool: &mut self.pool,
+            agent: &mut self.agent,
+            door: &mut self.door,
+            checks: &mut self.checks,
+            twin: &mut self.twin,
+        };
+        (cx, parts)
+    }
+
+    fn with<T>(&mut self, act: impl FnOnce(&mut Clients, &mut Pool, &mut Agent, &mut Cx) -> T) -> T {
+        let (mut cx, parts) = self.lend();
+        act(parts.clients, parts.pool, parts.agent, &mut cx)
+    }
+
+    fn with_own(&mut self, act: impl FnOnce(&mut Door, &mut Twin, &mut Cx)) {
+        let (mut cx, parts) = self.lend();
+        act(parts.door, parts.twin, &mut cx);
+    }
+
+    fn with_checks(&mut self, act: impl FnOnce(&mut Checks, &mut Cx)) {
+        let (mut cx, parts) = self.lend();
+        act(parts.checks, &mut cx);
     }
 
     fn turn(&mut self, events: &mut Events, signals: &mut Signals) -> Result<(), String> {
@@ -298,28 +331,6 @@
         Ok(())
     }
 
-    fn with_checks(&mut self, act: impl FnOnce(&mut Checks, &mut Cx)) {
-        let mut cx = Cx {
-            now: self.now,
-            registry: self.poll.registry(),
-            timers: &mut self.timers,
-            core: &mut self.core,
-            scratch: &mut self.scratch,
-        };
-        act(&mut self.checks, &mut cx);
-    }
-
-    fn with_own(&mut self, act: impl FnOnce(&mut Door, &mut Twin, &mut Cx)) {
-        let mut cx = Cx {
-            now: self.now,
-            registry: self.poll.registry(),
-            timers: &mut self.timers,
-            core: &mut self.core,
-            scratch: &mut self.scratch,
-        };
-        act(&mut self.door, &mut self.twin, &mut cx);
-    }
-
     /// Another process of this proxy came, spoke or went.
     fn meet(&mut self, source: Source) {
         self.with_own(|_, twin, cx| match source {
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -34,14 +34,22 @@
 
 /// Writes what waits. True: all of it has gone.
 pub fn write(stream: &mut impl Write, out: &mut Outbox) -> Result<bool, Ended> {
-    while !out.pending().is_empty() {
-        match stream.write(out.pending()) {
+    let written = write_some(stream, out.pending())?;
+    out.advance(written);
+    Ok(out.pending().is_empty())
+}
+
+/// Writes as much of it as goes just now.
+pub fn write_some(stream: &mut impl Write, bytes: &[u8]) -> Result<usize, Ended> {
+    let mut at = 0;
+    while at < bytes.len() {
+        match stream.write(&bytes[at..]) {
             Ok(0) => return Err(Ended::Reset),
-            Ok(n) => out.advance(n),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+            Ok(n) => at += n,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(_) => return Err(Ended::Reset),
         }
     }
-    Ok(true)
+    Ok(at)
 }
