--- a/proxy/tests/health.rs
+++ b/proxy/tests/health.rs
@@ -269,6 +269,47 @@
     });
 }
 
+/// Clients that come by a balancer: it shares out by weight and connections, and nobody is lost while one proxy is taken out,
+/// comes back, and the other drains.
+#[test]
+fn a_balancer_leads_clients_past_who_leaves() {
+    let rig = rig(9, 1);
+    let one = rig.start_with_doors(1, 64, "").unwrap();
+    let mut two = rig.start_with_doors(2, 64, "<stopping lead-ms='1500'/>").unwrap();
+    let rules = Rules { every: Duration::from_millis(50), timeout: PATIENCE, rise: 2, fall: 2 };
+    let at = [&one, &two].map(|p| (p.checks("http").unwrap(), p.clients().unwrap()));
+    let balancer = Balancer::start(&at, &Check::Http("/class/file-entry".into()), &rules);
+    assert!(balancer.wait(0, true, PATIENCE) && balancer.wait(1, true, PATIENCE));
+    let mut count = [0; 2];
+    let mut go = |n: usize| {
+        for _ in 0..n {
+            let to = balancer.choose().expect("somebody is up");
+            let mut client = Client::connect(balancer.servers()[to].clients).unwrap();
+            let reply = client.write("file-entry", 0, 3000).unwrap();
+            assert!(matches!(reply, Reply::Served(_)), "{reply:?}");
+            balancer.done(to);
+            count[to] += 1;
+        }
+        std::mem::take(&mut count)
+    };
+    // Two at a time: they go to different ones.
+    let (a, b) = (balancer.choose().unwrap(), balancer.choose().unwrap());
+    assert_ne!(a, b);
+    balancer.done(a);
+    balancer.done(b);
+    assert_eq!(go(100).iter().sum::<i32>(), 100);
+    operator(&one, "maintenance on");
+    assert!(balancer.wait(0, false, PATIENCE));
+    assert_eq!(go(100), [0, 100]);
+    operator(&one, "maintenance off");
+    assert!(balancer.wait(0, true, PATIENCE));
+    two.signal("TERM");
+    assert!(balancer.wait(1, false, PATIENCE));
+    assert_eq!(go(100), [100, 0]);
+    assert_eq!(two.ended(), Some(0));
+    assert_eq!(rig.groups[0].rows.doubles(), 0);
+}
+
 /// Balancers that check by PostgreSQL's own greeting take no place that a client has, and leave no flood of lines; and a
 /// restart under a flood of checks is over as soon as the process serves.
 #[test]
