--- a/benches/src/cost.rs
+++ b/benches/src/cost.rs
@@ -46,9 +46,16 @@
 
 /// CPU microseconds of the process for each of so many calls.
 fn each(process: &Process, n: u64, mut call: impl FnMut()) -> f64 {
-    let before = process.ticks().unwrap_or(0);
+    let before = process.cpu().unwrap_or_default();
     (0..n).for_each(|_| call());
-    (process.ticks().unwrap_or(0) - before) as f64 * 10_000.0 / n as f64
+    // What is still under way there belongs to it.
+    thread::sleep(Duration::from_millis(50));
+    micros(process, before) / n as f64
+}
+
+/// CPU microseconds of the process since then.
+fn micros(process: &Process, before: Duration) -> f64 {
+    process.cpu().unwrap_or_default().saturating_sub(before).as_secs_f64() * 1e6
 }
 
 pub fn run(program: &Path, folder: &Path, rounds: u32) -> Done {
@@ -99,7 +106,7 @@
             let process = if mode == 0 { &off } else { &on };
             let at = clients(process)?;
             let over = AtomicBool::new(false);
-            let (times, ticks) = thread::scope(|scope| {
+            let (times, cpu) = thread::scope(|scope| {
                 if mode == 2 {
                     for n in 0..20 {
                         let over = &over;
@@ -114,13 +121,13 @@
                         });
                     }
                 }
-                let before = process.ticks().unwrap_or(0);
+                let before = process.cpu().unwrap_or_default();
                 let times = load(at, SLICE);
                 over.store(true, Ordering::Relaxed);
-                (times, process.ticks().unwrap_or(0) - before)
+                (times, micros(process, before))
             });
             sums[mode].0.join(&times);
-            sums[mode].1 += ticks as f64;
+            sums[mode].1 += cpu;
         }
     }
     println!(
@@ -128,9 +135,9 @@
         SLICE.as_secs()
     );
     println!("| --- | --- | --- | --- | --- | --- | --- |");
-    for (name, (times, ticks)) in modes.iter().zip(&sums) {
+    for (name, (times, cpu)) in modes.iter().zip(&sums) {
         let rate = times.count() as f64 / (SLICE.as_secs_f64() * f64::from(rounds));
-        println!("| {name} | {rate:.0} | {} | {:.1} |", times.row(), ticks * 10_000.0 / times.count() as f64);
+        println!("| {name} | {rate:.0} | {} | {:.1} |", times.row(), cpu / times.count() as f64);
     }
     Ok(())
 }
@@ -155,7 +162,7 @@
             let written = each(process, 200, come);
             let _ = each(process, 3000, come);
             let dropped = each(process, 10_000, come);
-            println!("| {name} | {round} | {written:.0} | {dropped:.1} |");
+            println!("| {name} | {round} | {written:.1} | {dropped:.1} |");
         }
     }
     Ok(())
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -135,11 +135,10 @@
         None
     }
 
-    /// User and system time so far, in clock ticks (a hundredth of a second).
-    pub fn ticks(&self) -> Option<u64> {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.pid())).ok()?;
-        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
-        Some(fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?)
+    /// Time on a processor so far; the program has one thread.
+    pub fn cpu(&self) -> Option<Duration> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/schedstat", self.pid())).ok()?;
+        Some(Duration::from_nanos(stat.split(' ').next()?.parse().ok()?))
     }
 
     /// Resident memory, in KiB.
