--- /dev/null
+++ b/knowledge/src/lib.rs
@@ -0,0 +1,35 @@
+//! What proxies may learn of servers from one another, weighed by age and origin: decisions without I/O or clock, and
+//! beside them the frames in which it travels and the snapshot in which it rests.
+//!
+//! [`Knowledge`] holds facts as they were seen ([`Seen`]) and joins what others tell; [`advice`] says the few things that
+//! facts may be used for. [`join::Joiner`] decides whom a newcomer asks and how long its start waits;
+//! [`donor::Donor`] decides whom a running proxy answers, so that its clients lose nothing.
+//!
+//! It owns facts, their ages and their origins. It never makes a primary, sends nothing, and knows no socket, no
+//! PostgreSQL and no type of another crate.
+//!
+//! Invariants, each with the test that holds it (`tests/`):
+//!
+//! 1. A join is commutative, associative and idempotent (`joins_are_a_semilattice`).
+//! 2. Nothing grows younger on its way (`ages_only_add_up`).
+//! 3. Nothing of another boot or group than the list's is used (`another_boot_is_another_server`).
+//! 4. A position that is given out was seen of that boot (`positions_were_seen`).
+//! 5. Who was seen as a replica after being seen as primary, or is older as primary than another, is not asked first
+//!    (`former_primaries_are_not_asked_first`).
+//! 6. What comes back to its observer is dropped (`own_words_do_not_come_back`).
+//! 7. Tables and messages are bounded whatever is told (`tables_are_bounded`, `noise_is_refused`).
+
+pub mod advice;
+pub mod donor;
+mod facts;
+pub mod frame;
+pub mod join;
+pub mod snapshot;
+pub mod talk;
+mod told;
+
+pub use facts::{Facts, Knowledge, Listed, Role, Seen, Source};
+pub use told::{Told, ToldFact, ToldServer};
+
+/// A span of time, or an instant on the holder's clock, in microseconds.
+pub type Micros = i64;
