Links among proxies: a newcomer hears positions and whom to ask, by key, within 300 ms

Need: the knowledge crate is of use only where proxies tell one another. Change: options name donors, a listening address and a key file (one that others may read is refused); net/gossip.rs asks and answers on the loop; core notes what servers say of themselves, hands positions that were heard to the decisions as reports without a role, and probes who is said to be a primary: no write follows from hearsay. A start waits for the first whole answer, 300 ms at most. Off without the element.

--- a/options/src/lib.rs
+++ b/options/src/lib.rs
@@ -5,8 +5,10 @@
 //! the options; it never opens an address, and reads no file by itself.
 
 use birchreach_health::{Idle, Micros, Overload, Probing, Settings, Shared, Sum};
+use birchreach_knowledge::{donor, join};
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 use uppsala::{Document, NodeId, XmlError, XsdValidator};
 
@@ -19,6 +21,19 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Options {
     pub health: Option<Health>,
+    pub knowledge: Option<Knowledge>,
+}
+
+/// What is learnt from other proxies, and told them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Knowledge {
+    /// Where others ask, if anywhere.
+    pub listen: Option<SocketAddr>,
+    pub line: usize,
+    /// A file of keys that all have.
+    pub key_file: PathBuf,
+    pub join: join::Settings,
+    pub donor: donor::Settings,
 }
 
 /// What balancers are told, and where.
@@ -188,7 +203,38 @@
     fn options(&mut self) -> Options {
         let root = self.doc.document_element();
         let health = root.and_then(|root| self.child(root, "health")).and_then(|node| self.health(node));
-        Options { health }
+        let knowledge =
+            root.and_then(|root| self.child(root, "knowledge")).and_then(|node| self.knowledge(node));
+        let health_doors: Vec<_> = health.iter().flat_map(Health::doors).collect();
+        if let Some((line, at)) = knowledge.as_ref().and_then(|k| Some((k.line, k.listen?)))
+            && let Some((other, _)) = health_doors.iter().find(|(_, door)| meet(door.listen, at))
+        {
+            let message = format!("listen: {at} is used by {other} too");
+            self.faults.push(Fault { line, element: "knowledge".into(), message });
+        }
+        Options { health, knowledge }
+    }
+
+    fn knowledge(&mut self, node: NodeId) -> Option<Knowledge> {
+        let mut join = join::Settings::default();
+        let mut donor = donor::Settings::default();
+        let donors = self.doc.get_attribute(node, "donors").unwrap_or_default().to_string();
+        for name in donors.split_ascii_whitespace() {
+            match name.parse::<SocketAddr>() {
+                Ok(at) => join.donors.push(at.to_string()),
+                Err(_) => self.fault(node, format!("donors: '{name}' is no address and port")),
+            }
+        }
+        self.ms(node, "patience-ms", &mut join.patience);
+        self.ms(node, "refresh-ms", &mut join.refresh);
+        self.number(node, "at-once", &mut donor.at_once);
+        self.number(node, "bytes-per-s", &mut donor.bytes_per_s);
+        let listen = self.value(node, "listen");
+        let key_file = PathBuf::from(self.doc.get_attribute(node, "key-file")?);
+        if listen.is_none() && join.donors.is_empty() {
+            self.fault(node, "neither listen nor donors: nobody is asked, nobody can ask");
+        }
+        Some(Knowledge { listen, line: self.doc.node_line(node), key_file, join, donor })
     }
 
     fn door(&mut self, node: NodeId) -> Option<Door> {
@@ -330,7 +376,14 @@
             let message = format!("listen: {} is used as {name} already", door.listen);
             Some(Fault { line: door.line, element: element.into(), message })
         };
-        self.doors().filter_map(clash).collect()
+        let mut faults: Vec<Fault> = self.doors().filter_map(clash).collect();
+        if let Some((line, at)) = self.knowledge.as_ref().and_then(|k| Some((k.line, k.listen?)))
+            && let Some((name, _)) = others.iter().find(|(_, other)| meet(*other, at))
+        {
+            let message = format!("listen: {at} is used as {name} already");
+            faults.push(Fault { line, element: "knowledge".into(), message });
+        }
+        faults
     }
 }
 
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -3,6 +3,7 @@
 //! XML file that the command line names, stand beside it. Both are taken, or neither.
 
 use crate::discovery::Update;
+use birchreach_knowledge::frame::Keys;
 use birchreach_options::Options;
 use birchreach_settings::Site;
 use serde_json::Value;
@@ -32,6 +33,8 @@
     pub site: Site,
     /// Options of our own; without a file all that is new is off.
     pub options: Options,
+    /// The keys among proxies, where the options name a file of them.
+    pub keys: Option<Keys>,
     /// The settings and limits as the file has them.
     pub raw: Value,
 }
@@ -95,6 +98,10 @@
             let more = if more > 0 { format!(" (and {more} more)") } else { String::new() };
             faults.into_iter().next().map_or_else(String::new, |f| f.to_string()) + &more
         })?;
+        config.keys = match &config.options.knowledge {
+            Some(knowledge) => Some(keys(&knowledge.key_file).map_err(|f| f.to_string())?),
+            None => None,
+        };
     }
     Ok(config)
 }
@@ -121,7 +128,9 @@
             Some(config) => read_options(path, config).map(drop),
             None => options_alone(path).map(drop),
         };
+        let named = options_alone(path).ok().and_then(|options| options.knowledge);
         faults.extend(read.err().unwrap_or_default());
+        faults.extend(named.and_then(|knowledge| keys(&knowledge.key_file).err()));
     }
     faults
 }
@@ -138,6 +147,32 @@
     birchreach_options::parse(&text).map_err(|faults| faults.into_iter().map(ours).collect())
 }
 
+/// A file of keys: one a line, its number and its secret in hexadecimal digits; the first is the one to speak with. Nobody
+/// but its owner may read it.
+fn keys(path: &Path) -> Result<Keys, Fault> {
+    use std::os::unix::fs::PermissionsExt;
+    let fault = |line, message: String| Fault { file: path.into(), line, element: "key".into(), message };
+    let meta = std::fs::metadata(path).map_err(|e| fault(1, e.to_string()))?;
+    if meta.permissions().mode() & 0o077 != 0 {
+        return Err(fault(1, "others may read it: expected mode 0600 or 0400".into()));
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| fault(1, e.to_string()))?;
+    let mut keys = Vec::new();
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty() && !l.starts_with('#')) {
+        let (id, secret) = line.trim().split_once(' ').ok_or_else(|| fault(n + 1, "no secret".into()))?;
+        let id = id.parse().map_err(|_| fault(n + 1, "a key's number is no number".into()))?;
+        let digits = secret.trim().as_bytes();
+        let pair = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+        let secret: Option<Vec<u8>> = digits.chunks(2).map(pair).collect();
+        let secret = secret.filter(|_| digits.len() % 2 == 0);
+        keys.push((
+            id,
+            secret.ok_or_else(|| fault(n + 1, "the secret is not in pairs of hexadecimal digits".into()))?,
+        ));
+    }
+    Keys::new(keys).map_err(|why| fault(1, why.into()))
+}
+
 /// The options, which must not clash with what the platform told.
 fn read_options(path: &Path, config: &Config) -> Result<Options, Vec<Fault>> {
     let options = options_alone(path)?;
@@ -244,6 +279,7 @@
                 known,
                 site,
                 options: Options::default(),
+                keys: None,
                 raw: [part("limits"), part("settings")].into_iter().collect(),
             })
         }
--- a/proxy/src/core.rs
+++ b/proxy/src/core.rs
@@ -5,6 +5,7 @@
 use crate::config::hash;
 use crate::discovery::{State, Update};
 use crate::health::Watch;
+use crate::lore::Lore;
 use crate::stats::{End, Gauges, Stats};
 use birchreach::*;
 use birchreach_settings::Site;
@@ -167,6 +168,8 @@
     pub stats: Stats,
     /// What balancers are told, where they are told anything.
     pub watch: Option<Watch>,
+    /// What is known of servers, where proxies tell one another.
+    pub lore: Option<Lore>,
     /// The classes by number, with those that are no more while requests of them may be open.
     kinds: Vec<Kind>,
     /// The module's settings but for its classes, and how many processes share them with this one.
@@ -183,6 +186,7 @@
     group: GroupId,
     primary: Option<bool>,
     up: bool,
+    boot_ms: u64,
     removed: bool,
 }
 
@@ -208,6 +212,7 @@
             router,
             stats,
             watch: None,
+            lore: None,
             kinds,
             module: site.module.clone(),
             processes: 1,
@@ -454,6 +459,7 @@
         if let Some(watch) = &mut self.watch {
             watch.ended(now, server, write, &reply);
         }
+        self.saw(now, server, &reply);
         if let Some(entry) = self.requests.get_mut(&request) {
             entry.out = entry.out.saturating_sub(1);
             if entry.out == 0 {
@@ -495,6 +501,7 @@
         if let Some(watch) = &mut self.watch {
             watch.ended(now, server, false, reply);
         }
+        self.saw(now, server, reply);
         let report = credible(reply.report, now);
         self.handle(now, Event::Probed { server, ending: reply.ending, report });
     }
@@ -506,6 +513,33 @@
         }
     }
 
+    /// What a server said of itself is known from now on, where proxies tell one another.
+    fn saw(&mut self, now: Micros, server: ServerId, reply: &Reply) {
+        if let (Some(lore), Some(listed)) = (&mut self.lore, self.servers.get(&server)) {
+            lore.saw(now, &listed.uid, reply);
+        }
+    }
+
+    /// Another proxy tells what it knows, asked at this time. The decisions hear of positions; who is said to be a primary
+    /// is asked.
+    pub fn heard(&mut self, now: Micros, asked_at: Micros, told: &birchreach_knowledge::Told) {
+        let Some(lore) = &mut self.lore else { return };
+        let learnt = lore.hear(now, asked_at, told);
+        for (uid, report) in learnt.reports {
+            if let (Some(&server), Some(report)) = (self.roster.get(&uid), credible(Some(report), now)) {
+                self.handle(now, Event::Probed { server, ending: Ending::Ok, report: Some(report) });
+            }
+        }
+        for uid in learnt.ask.iter().filter(|_| self.module.may_probe) {
+            if let Some(&server) = self.roster.get(uid) {
+                if let Some(watch) = &mut self.watch {
+                    watch.sent(now, server);
+                }
+                self.commands.push_back(Command::Probe { server });
+            }
+        }
+    }
+
     /// A connection came up: its server lives.
     pub fn alive(&mut self, now: Micros, server: ServerId) {
         if let Some(watch) = &mut self.watch {
@@ -554,9 +588,11 @@
                 group,
                 primary: None,
                 up: false,
+                boot_ms: 0,
                 removed: false,
             });
             (listed.group, listed.primary, listed.up) = (group, t.primary, t.state == State::Up);
+            listed.boot_ms = t.boot_ms;
             listed.removed = t.state == State::Removed;
             if listed.address != address || t.state == State::Removed {
                 moved.push(server);
@@ -581,6 +617,7 @@
                 primary: t.primary == Some(true),
             });
         }
+        self.name_in_lore();
         if let Some(watch) = &mut self.watch {
             for (server, group, primary, state) in told.iter().filter(|t| t.3 != State::Removed) {
                 watch.listed(now, *server, *group, *primary, *state == State::Up);
@@ -605,6 +642,25 @@
         }
         self.watch = Some(watch);
     }
+
+    /// Facts are kept from now on.
+    pub fn learn(&mut self, lore: Lore) {
+        self.lore = Some(lore);
+        self.name_in_lore();
+    }
+
+    /// Facts are kept of the servers that the list names, and of their present boots alone.
+    fn name_in_lore(&mut self) {
+        let Some(lore) = &mut self.lore else { return };
+        for listed in self.servers.values() {
+            if listed.removed {
+                lore.knowledge.unlisted(&listed.uid);
+            } else {
+                let named = birchreach_knowledge::Listed { boot_ms: listed.boot_ms, group: listed.group.0 };
+                lore.knowledge.listed(&listed.uid, named);
+            }
+        }
+    }
 }
 
 /// A position that is yet to come is none, and a report that names one is spoilt.
--- /dev/null
+++ b/proxy/src/lore.rs
@@ -0,0 +1,89 @@
+//! Between the core and the knowledge crate: what this proxy sees of servers as facts, and what others tell as the few things
+//! that the decisions may hear of it. It owns the translation; what a fact may be used for is the crate's to say, and no
+//! write is sent because of one.
+
+use crate::core::Reply;
+use birchreach::{Micros, Report};
+use birchreach_knowledge::{Knowledge, Role, Source, Told, advice};
+use std::collections::HashMap;
+
+/// A sighting that is trusted less than this leads nobody, not even a probe.
+const LEAST_TRUST: f64 = 0.05;
+
+pub struct Lore {
+    pub knowledge: Knowledge,
+    /// Positions that the decisions have been told.
+    told: HashMap<String, Micros>,
+}
+
+/// What was learnt from an answer.
+pub struct Learnt {
+    /// Positions proven for the servers that the list names now.
+    pub reports: Vec<(String, Report)>,
+    /// Whom to ask whether it is its group's primary.
+    pub ask: Vec<String>,
+}
+
+impl Lore {
+    pub fn new(observer: u64) -> Lore {
+        Lore { knowledge: Knowledge::new(observer), told: HashMap::new() }
+    }
+
+    /// What a server said of itself, with an answer or a report.
+    pub fn saw(&mut self, now: Micros, uid: &str, reply: &Reply) {
+        let known = &mut self.knowledge;
+        if let Some(note) = reply.note {
+            known.saw_role(now, uid, role(note.role), Source::Note);
+            if let Some(position) = note.position {
+                known.saw_position(now, uid, position, (now - position).max(0), Source::Note);
+            }
+        }
+        if let Some(report) = reply.report {
+            if let Some(told) = report.role {
+                known.saw_role(now, uid, role(told), Source::Report);
+            }
+            if let Some(position) = report.position {
+                known.saw_position(now, uid, position, (now - position).max(0), Source::Report);
+            }
+        }
+        let answered = reply.note.is_some() || reply.report.is_some();
+        if answered || reply.refused {
+            known.saw_health(now, uid, reply.refused);
+        }
+    }
+
+    /// Takes what another tells, asked at this time.
+    pub fn hear(&mut self, now: Micros, asked_at: Micros, told: &Told) -> Learnt {
+        self.knowledge.hear(asked_at, told);
+        let mut learnt = Learnt { reports: Vec::new(), ask: Vec::new() };
+        let mut groups: Vec<u32> = Vec::new();
+        for server in &told.servers {
+            let uid = server.uid.as_str();
+            let heard = advice::position(&self.knowledge, uid).filter(|seen| seen.hops > 0);
+            if let Some(seen) = heard
+                && self.told.get(uid).is_none_or(|before| *before < seen.value)
+            {
+                self.told.insert(uid.into(), seen.value);
+                learnt.reports.push((uid.into(), Report { position: Some(seen.value), role: None }));
+            }
+            if let Some(facts) = self.knowledge.facts(uid).filter(|f| !groups.contains(&f.group)) {
+                groups.push(facts.group);
+            }
+        }
+        for group in groups {
+            let first = advice::ask_first(&self.knowledge, group, now).into_iter().next();
+            // Who was seen so by this proxy itself need not be asked.
+            learnt.ask.extend(first.filter(|c| c.seen.hops > 0 && c.trust >= LEAST_TRUST).map(|c| c.uid));
+        }
+        let listed = &self.knowledge;
+        self.told.retain(|uid, _| listed.facts(uid).is_some());
+        learnt
+    }
+}
+
+fn role(role: birchreach::Role) -> Role {
+    match role {
+        birchreach::Role::Primary => Role::Primary,
+        birchreach::Role::Replica => Role::Replica,
+    }
+}
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -8,6 +8,7 @@
 mod grpc;
 mod health;
 mod log;
+mod lore;
 mod net;
 mod operator;
 mod outbox;
--- a/proxy/src/net/clients.rs
+++ b/proxy/src/net/clients.rs
@@ -97,6 +97,8 @@
     leaving: bool,
     /// Another process takes the clients: each connection closes with its next answer.
     handing: bool,
+    /// The start waits for others to tell what they know.
+    learning: bool,
     /// Clients with more input than one turn takes.
     unread: Vec<usize>,
     /// Long values of which their clients have taken what there was.
@@ -168,6 +170,7 @@
             retry_set: false,
             leaving: false,
             handing: false,
+            learning: false,
             unread: Vec::new(),
             thirsty: Vec::new(),
             spare: spare(),
@@ -213,6 +216,11 @@
         self.handing = give;
     }
 
+    /// Nobody is accepted while the start waits.
+    pub fn learning(&mut self, learning: bool) {
+        self.learning = learning;
+    }
+
     pub fn knock(&mut self) {
         self.waiting = true;
     }
@@ -232,7 +240,7 @@
 
     /// There are connections to accept, and room for them.
     fn can_accept(&self) -> bool {
-        self.waiting && !self.retry_set && !self.handing && self.listener.is_some()
+        self.waiting && !self.retry_set && !self.handing && !self.learning && self.listener.is_some()
     }
 
     pub fn is_empty(&self) -> bool {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod clients;
 mod door;
+mod gossip;
 mod listener;
 mod pool;
 mod sources;
@@ -17,6 +18,7 @@
 use crate::discovery::Update;
 use crate::health::{self, Watch};
 use crate::log::Quoted;
+use crate::lore::Lore;
 use crate::operator::Call;
 use agent::Agent;
 use birchreach::{Micros, ServerId};
@@ -25,6 +27,7 @@
 use checks::Checks;
 use clients::Clients;
 use door::Door;
+use gossip::Gossip;
 use mio::{Events, Poll};
 use pool::{Cx, Pool, Work};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -57,6 +60,9 @@
     /// This process yields to the next; this one may listen for checks, for the one before has yielded.
     Yield,
     Checks,
+    /// Another proxy is to be asked, or has had its time; more may be told to one that asks.
+    Gossip,
+    GossipSend(usize, u64),
     /// Draining has been told for long enough.
     Depart,
     Leave,
@@ -100,7 +106,8 @@
 
 /// Descriptors kept for balancers: their checks, and those that look in at the clients' door.
 fn reserve(config: &Config) -> usize {
-    config.options.descriptors() + guests(config)
+    let gossip = if config.options.knowledge.is_some() { gossip::MOST + 1 } else { 0 };
+    config.options.descriptors() + guests(config) + gossip
 }
 
 fn guests(config: &Config) -> usize {
@@ -148,6 +155,7 @@
     agent: Agent,
     door: Door,
     checks: Checks,
+    gossip: Option<Gossip>,
     health: HealthTimes,
     twin: Twin,
     config: Config,
@@ -197,6 +205,7 @@
         ),
         door,
         checks: Checks::new(shared),
+        gossip: None,
         health: HealthTimes::default(),
         twin,
         longest_deadline: longest_deadline(&config.site),
@@ -211,9 +220,11 @@
     let operator = proxy.door.address().map(tracing::field::display);
     info!(event = "started", name, %listen, %discovery, operator);
     proxy.start_health()?;
+    proxy.start_gossip()?;
     if let Some(known) = known {
         proxy.members(Update { all: true, ..known });
     }
+    proxy.with_gossip(Gossip::step);
     if proxy.twin.processes() > 1 {
         info!(event = "elder-met");
     }
@@ -263,6 +274,29 @@
         act(parts.door, parts.twin, &mut cx);
     }
 
+    fn with_gossip(&mut self, act: impl FnOnce(&mut Gossip, &mut Cx)) {
+        let Some(mut gossip) = self.gossip.take() else { return };
+        let (mut cx, parts) = self.lend();
+        act(&mut gossip, &mut cx);
+        parts.clients.learning(!gossip.ready());
+        self.gossip = Some(gossip);
+        self.carry_out();
+    }
+
+    /// Knowledge is asked for and told, where the options say so.
+    fn start_gossip(&mut self) -> Result<(), String> {
+        let (Some(options), Some(keys)) = (&self.config.options.knowledge, &self.config.keys) else {
+            return Ok(());
+        };
+        // Each process is an observer of its own: what the one before told is hearsay.
+        let mut observer = [0; 8];
+        getrandom::fill(&mut observer).map_err(|e| format!("no random numbers: {e}"))?;
+        self.core.learn(Lore::new(u64::from_be_bytes(observer)));
+        let gossip = Gossip::new(self.poll.registry(), options, keys.clone(), self.config.seed, self.now)?;
+        self.gossip = Some(gossip);
+        Ok(())
+    }
+
     fn with_checks(&mut self, act: impl FnOnce(&mut Checks, &mut Cx)) {
         let (mut cx, parts) = self.lend();
         act(parts.checks, &mut cx);
@@ -309,6 +343,11 @@
                         self.members(update);
                     }
                 }
+                Source::GossipDoor => self.with_gossip(|gossip, cx| {
+                    gossip.knock();
+                    gossip.step(cx);
+                }),
+                Source::Gossip(key) => self.with_gossip(|gossip, cx| gossip.ready_link(cx, key)),
                 Source::Client(key) => self.with(|clients, _, _, cx| clients.ready(cx, key)),
                 Source::Database(key) => self.with(|_, pool, _, cx| pool.ready(cx, key)),
                 _ => {}
@@ -393,6 +432,7 @@
         self.with(|clients, pool, agent, cx| match due {
             Due::Module(_) | Due::Leave | Due::Exit | Due::Depart => {}
             Due::Asked(..) | Due::Health | Due::HealthTick | Due::Yield | Due::Checks => {}
+            Due::Gossip | Due::GossipSend(..) => {}
             Due::Attempt(attempt) => pool.overdue(cx, attempt),
             Due::Connect(key, serial) => pool.connect_overdue(cx, key, serial),
             Due::Probe(key, turn) => pool.probe_overdue(cx, key, turn),
@@ -415,6 +455,9 @@
                         twin.leaving(cx, held);
                     }
                 });
+                let (_, for_databases) = self.places();
+                let pressure = self.core.attempts_out() as f64 / for_databases.max(1) as f64;
+                self.with_gossip(|gossip, _| gossip.pressed(pressure));
                 self.with_checks(Checks::sweep);
                 if self.checks.lacks() && !self.health.yielding && self.now >= self.health.ready_at - EARLY {
                     self.with_checks(Checks::reopen);
@@ -426,6 +469,8 @@
             Due::HealthTick => self.tell_load(),
             Due::Yield if self.health.yielding => self.with_checks(Checks::stop_listening),
             Due::Checks if self.checks.lacks() => self.with_checks(Checks::reopen),
+            Due::Gossip => self.with_gossip(Gossip::step),
+            Due::GossipSend(key, serial) => self.with_gossip(|gossip, cx| gossip.go_on(cx, key, serial)),
             Due::Depart => self.depart(),
             Due::Leave => {
                 self.with(|clients, _, _, cx| clients.leave(cx));
--- a/proxy/src/net/sources.rs
+++ b/proxy/src/net/sources.rs
@@ -18,19 +18,22 @@
     HttpDoor,
     AgentDoor,
     GrpcDoor,
+    /// The listener for other proxies.
+    GossipDoor,
     Client(usize),
     Database(usize),
     Operator(usize),
     Check(usize),
+    Gossip(usize),
 }
 
 use Source::*;
 
 /// Sources of which there is one, by their tokens.
-const SINGLE: [Source; 10] =
-    [Listener, Signals, Discovery, Door, Heirs, Elder, Heir, HttpDoor, AgentDoor, GrpcDoor];
+const SINGLE: [Source; 11] =
+    [Listener, Signals, Discovery, Door, Heirs, Elder, Heir, HttpDoor, AgentDoor, GrpcDoor, GossipDoor];
 /// The others take turns behind them: place k of kind n has the token SINGLE + k * SLABS + n.
-const SLABS: [fn(usize) -> Source; 4] = [Client, Database, Operator, Check];
+const SLABS: [fn(usize) -> Source; 5] = [Client, Database, Operator, Check, Gossip];
 
 impl Source {
     pub fn token(self) -> Token {
@@ -40,6 +43,7 @@
             Database(key) => slab(1, key),
             Operator(key) => slab(2, key),
             Check(key) => slab(3, key),
+            Gossip(key) => slab(4, key),
             single => SINGLE.iter().position(|s| *s == single).unwrap_or(usize::MAX),
         })
     }
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -98,6 +98,18 @@
         self.line(words)?.split(' ').find_map(|w| w.strip_prefix(key))?.parse().ok()
     }
 
+    /// Where clients connect, once it serves; none if it ends before.
+    pub fn serves(&mut self) -> Option<SocketAddr> {
+        loop {
+            let started = lock(&self.log).iter().any(|l| l.contains("event=started"));
+            if started || matches!(self.child.try_wait(), Ok(Some(_)) | Err(_)) {
+                thread::sleep(Duration::from_millis(10));
+                return if started { self.clients() } else { None };
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     pub fn clients(&self) -> Option<SocketAddr> {
         self.address(&["event=started"], "listen=")
     }
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -101,9 +101,9 @@
             inherited,
             descriptors: Some(self.sockets + 64),
         };
-        let process = Process::start(&setup)?;
+        let mut process = Process::start(&setup)?;
         process
-            .clients()
+            .serves()
             .ok_or_else(|| io::Error::other(format!("it does not serve: {:?}", process.log())))?;
         Ok(process)
     }
