Hand on young positions only; links among proxies change with a restart

Cause: the decisions date a heard position by the moment of hearing, so one that is old makes its replica look far behind, and such a replica is not asked for half a second: worse than a cold start. And a changed knowledge element at SIGHUP was taken for being in force. Change: positions seen more than 5 s ago are not handed on; needs-restart names knowledge until then, and the log says so.

--- a/knowledge/src/frame.rs
+++ b/knowledge/src/frame.rs
@@ -92,7 +92,7 @@
 }
 
 /// Secrets by their numbers; the first is the one to speak with.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Keys(Vec<(u32, Vec<u8>)>);
 
 impl fmt::Debug for Keys {
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -62,6 +62,7 @@
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("operator", self.operator != new.operator),
+            ("knowledge", (&self.options.knowledge, &self.keys) != (&new.options.knowledge, &new.keys)),
         ];
         parts.into_iter().filter_map(|(part, other)| other.then_some(part)).collect()
     }
--- a/proxy/src/lore.rs
+++ b/proxy/src/lore.rs
@@ -7,6 +7,9 @@
 use birchreach_knowledge::{Knowledge, Role, Source, Told, advice};
 use std::collections::HashMap;
 
+/// A position seen longer ago is not handed on: the decisions date it by the moment at which they hear of it, and would
+/// take the replica for one so far behind that it need not be asked for a while.
+const OLD: Micros = 5_000_000;
 /// A sighting that is trusted less than this leads nobody, not even a probe.
 const LEAST_TRUST: f64 = 0.05;
 
@@ -60,6 +63,7 @@
         for server in &told.servers {
             let uid = server.uid.as_str();
             let heard = advice::position(&self.knowledge, uid).filter(|seen| seen.hops > 0);
+            let heard = heard.filter(|seen| seen.age(now) <= OLD);
             if let Some(seen) = heard
                 && self.told.get(uid).is_none_or(|before| *before < seen.value)
             {
@@ -87,3 +91,36 @@
         birchreach::Role::Replica => Role::Replica,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use birchreach_knowledge::Listed;
+
+    #[test]
+    fn young_positions_are_handed_on_once_and_old_ones_never() {
+        let listed = |lore: &mut Lore| {
+            lore.knowledge.listed("p", Listed { boot_ms: 0, group: 0 });
+            lore.knowledge.listed("r", Listed { boot_ms: 0, group: 0 });
+        };
+        let mut donor = Lore::new(1);
+        listed(&mut donor);
+        donor.knowledge.saw_role(10_000_000, "p", Role::Primary, Source::Served);
+        donor.knowledge.saw_position(10_000_000, "r", 9_900_000, 100_000, Source::Note);
+        let told = |at| Told { servers: donor.knowledge.tell(at).collect() };
+        let mut newcomer = Lore::new(2);
+        listed(&mut newcomer);
+        let learnt = newcomer.hear(11_000_000, 11_000_000, &told(11_000_000));
+        let report = Report { position: Some(9_900_000), role: None };
+        assert_eq!((learnt.reports, learnt.ask), (vec![("r".to_string(), report)], vec!["p".to_string()]));
+        let again = newcomer.hear(11_100_000, 11_100_000, &told(11_100_000));
+        assert!(again.reports.is_empty(), "the decisions have it");
+        // What it has seen of the primary itself, it does not ask.
+        newcomer.knowledge.saw_role(11_200_000, "p", Role::Primary, Source::Note);
+        assert!(newcomer.hear(11_300_000, 11_300_000, &told(11_300_000)).ask.is_empty());
+        let mut late = Lore::new(3);
+        listed(&mut late);
+        let learnt = late.hear(70_000_000, 70_000_000, &told(70_000_000));
+        assert!(learnt.reports.is_empty() && learnt.ask.is_empty(), "a minute old, it leads nobody");
+    }
+}
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -524,7 +524,7 @@
     /// Reads the configuration again, whole; of one that is bad nothing is taken. Discovery's address,
     /// settings and limits change at once, in all places; the rest with a restart.
     fn reload(&mut self) {
-        let new = match config::load(config::environment, self.options.as_deref())
+        let mut new = match config::load(config::environment, self.options.as_deref())
             .and_then(|new| self.config.succeeds(new))
         {
             Ok(new) => new,
@@ -542,6 +542,8 @@
         };
         self.core.stats.loads += 1;
         let rest = self.config.differs(&new).join(",");
+        // Links among proxies wait for a restart, and count as they are until then.
+        (new.options.knowledge, new.keys) = (self.config.options.knowledge.clone(), self.config.keys.clone());
         let classes = new.site.class_names.join(",");
         info!(event = "reloaded", discovery = %new.discovery, classes, "needs-restart" = rest);
         // Requests that are open keep the deadlines that they came with.
--- a/proxy/tests/knowledge.rs
+++ b/proxy/tests/knowledge.rs
@@ -63,6 +63,11 @@
     // The donor speaks with a key that this one lacks; it learns nothing, and serves all the same.
     late.line(&["conn=knowledge", "unknown-key"]).expect("refused");
     work(&late);
+    // Other donors wait for a restart, and the log says so, each time.
+    for _ in 0..2 {
+        late.reload(&rig.config(3), &options(c, &[a], &one)).unwrap();
+    }
+    late.line(&["event=reloaded", "needs-restart=knowledge"]).expect("told");
     assert!(rig.groups.iter().all(|g| g.rows.doubles() == 0));
 }
 
