Read positions of load reports in seconds: probes made no replica known as fresh

Ruled out: lagging replicas (their answers tell 4 to 13 ms), probes without a report (29 of 12,600). A position is rounded down by all that its last digit may have been rounded up.

--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -216,7 +216,8 @@
         }
     }
 
-    /// A report as `x0=1767225600123,x1=1`. One that cannot be read in all its parts is none.
+    /// A report as `x0=1767225600.123,x1=1`: the position in seconds, where answers tell it in milliseconds. One
+    /// that cannot be read in all its parts is none.
     fn report(&self, value: &Value) -> Option<Report> {
         let text = std::str::from_utf8(&value.bytes).ok()?;
         let field = |wanted: &str| {
@@ -232,8 +233,8 @@
         };
         let position = match self.report.0.as_deref().map(field) {
             None => None,
-            // Rounded down: never read as later than it was.
-            Some(ms) => Some((ms? * 1000.0).floor() as Micros),
+            // Rounded down, by all that its last digit may have been rounded up: never read as later than it was.
+            Some(seconds) => Some((seconds? * 1000.0 - 0.5).floor() as Micros * 1000),
         };
         Some(Report { position, role })
     }
--- a/standins/src/database.rs
+++ b/standins/src/database.rs
@@ -197,7 +197,9 @@
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let quoted: Vec<&str> = query.split('\'').skip(1).step_by(2).collect();
         let answer = match quoted[..] {
-            _ if query == "SHOW usage" => row(&format!("x0={now},x1={}", u8::from(primary))),
+            _ if query == "SHOW usage" => {
+                row(&format!("x0={}.{:03},x1={}", now / 1000, now % 1000, u8::from(primary)))
+            }
             [_, _, ..] if !primary => message(b'E', b"SERROR\0C25006\0Mthis is no primary\0\0"),
             [handle, blob, ..] => {
                 lock(&self.0.rows.rows).insert(handle.to_string(), blob.to_string());
