Caps below one, trials by the number of routers, shares by group: jams drain again

Each proxy kept its cap of one request out, which is 100 of all, and tried a suspect whenever it met it. The share of reads let in was learnt by class, so that one jammed group turned 8,500 fallback reads away in all groups. Ruled out: lost connections (6 attempts ended unsent), a hang (they answer once the load falls). At fault: ease, suspect and admits. Caps of all routers on a server come to 6 at the least, and one below 1 is a rest after each answer; trials leave 50 ms for each router; the share is learnt by group; of reads that know no fresh replica as many ask as those of 35 routers, without a step at 16.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,8 @@
 /// Wait before the first trial of a suspect; doubles to the longest. Short against any outage.
 const FIRST_TRIAL: Micros = 500_000;
 const LONGEST_TRIAL: Micros = 4_000_000;
+/// Each router leaves so much time to each of the others: 20 trials a second of one server, however many.
+const TRIAL_TURN: Micros = 50_000;
 /// Pace of trying held requests again.
 const PACE: Micros = 100_000;
 /// Pause before sending again where the same server must take it; doubles with each attempt.
@@ -46,20 +48,19 @@
 const CONGESTED: f64 = 0.4;
 const SHRINK: f64 = 0.8;
 const FIRST_CAP: f64 = 4.0;
-/// The least that the caps of all routers on a server come to: fewer would leave its cores idle.
+/// The least that the caps of all routers on a server come to; one below one is kept by rests after answers.
 const LEAST_CAPS: f64 = 6.0;
-/// Reads let in per share of their class's last attempts in time, and what each takes back of the distance.
-const ADMIT: f64 = 1.5;
+/// Reads let in per share of their group's last attempts in time, and what each takes back of the distance.
+const ADMIT: f64 = 1.4;
 const RECOVER: f64 = 0.01;
 /// Share of a primary's cap that reads may fill: the rest is kept for writes.
 const READ_SHARE: f64 = 0.5;
 /// Replicas asked where they stand for one read, and the pause before one too far behind is again.
 const ASKS: usize = 2;
 const FAR_PAUSE: Micros = 500_000;
-/// From so many routers on, this share of reads without a known fresh replica goes to the primary unasked,
-/// while that has room: probes are dear to thin routers.
-const HERD: u32 = 16;
-const UNASKED: f64 = 0.65;
+/// Of reads without a known fresh replica as many ask as did those of so many routers; the rest goes to the
+/// primary unasked, while that has room: probes are dear to thin routers.
+const ASKERS: f64 = 35.0;
 /// A server that left is forgotten after this time: its process may only have been started again.
 const FORGET: Micros = 20_000_000;
 /// The least time that counts as late: a wake at the present would find nothing changed, without end.
@@ -89,6 +90,8 @@
     cap: f64,
     strain: f64,
     eased_at: Option<Micros>,
+    /// It rests up to this time.
+    rest: Micros,
     /// Sends that it may still be given while it is cold, as of a time, and when it last was down.
     allowed: (f64, Micros),
     down_at: Option<Micros>,
@@ -155,6 +158,8 @@
 struct Group {
     members: BTreeSet<ServerId>,
     held: BTreeSet<Place>,
+    /// Share of its attempts that did not end within the aim, and of those that fell back.
+    missed: [f64; 2],
 }
 
 /// One router's decisions: feed it events, carry out its actions.
@@ -171,8 +176,6 @@
     armed: Micros,
     /// Mean and mean deviation of the latency of each class.
     latency: Vec<(f64, f64)>,
-    /// Share of each class's attempts that ended within the aim, and of those that fell back.
-    in_time: Vec<[f64; 2]>,
     sessions: BTreeMap<SessionId, Micros>,
     forgotten: Option<Micros>,
     /// Ready servers; answers since a time; the most answers a ready server gave in a cold time.
@@ -200,7 +203,6 @@
             flying: BTreeMap::new(),
             wakes: BTreeSet::new(),
             armed: Micros::MAX,
-            in_time: vec![[1.0; 2]; set.classes.len()],
             latency,
             sessions: BTreeMap::new(),
             forgotten: None,
@@ -264,10 +266,8 @@
     fn settings(&mut self, mut set: Settings) {
         set.routers = set.routers.max(1);
         self.latency.resize(set.classes.len(), (0.0, 0.0));
-        self.in_time.resize(set.classes.len(), [1.0; 2]);
         for (i, c) in set.classes.iter().enumerate().filter(|(i, c)| self.set.classes.get(*i) != Some(*c)) {
             self.latency[i] = (c.aim as f64 * FIRST_GUESS, c.aim as f64 * FIRST_GUESS);
-            self.in_time[i] = [1.0; 2];
         }
         self.set = set;
     }
@@ -471,7 +471,7 @@
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.mute |= mute;
         if !s.suspect || Some(now) >= s.trial_at {
-            s.trial_at = Some(now + s.trial_wait);
+            s.trial_at = Some(now + s.trial_wait.max(Micros::from(self.set.routers) * TRIAL_TURN));
             s.trial_wait = (s.trial_wait * 2).min(LONGEST_TRIAL);
         }
         if !std::mem::replace(&mut s.suspect, true) && self.logged_at <= Some(now - LOG_PACE) {
@@ -507,7 +507,7 @@
         let now = self.now;
         let mean = self.latency[class].0 as Micros;
         let ratio = (took as f64 / self.set.classes[class].aim.max(1) as f64).min(2.0);
-        let least = (LEAST_CAPS / f64::from(self.set.routers)).max(1.0);
+        let least = LEAST_CAPS / f64::from(self.set.routers);
         let Some(s) = self.servers.get_mut(&id) else { return };
         match ending {
             Ending::Ok | Ending::Timeout | Ending::Cancelled => blend(&mut s.strain, ratio, QUICK_BLEND),
@@ -522,8 +522,11 @@
                 s.strain *= SHRINK;
             }
         } else if ending == Ending::Ok && f64::from(s.out + 1) >= s.cap.floor() {
-            s.cap += if s.eased_at.is_none() { 1.0 } else { 1.0 / s.cap };
+            let regained = if s.cap < 1.0 { s.cap / SHRINK - s.cap } else { 1.0 / s.cap };
+            s.cap += if s.eased_at.is_none() { 1.0 } else { regained };
         }
+        let busy = took.min(self.set.classes[class].aim) as f64;
+        s.rest = now + (busy * (1.0 / s.cap - 1.0).max(0.0)) as Micros;
     }
 
     // ---- Choosing ----
@@ -543,10 +546,10 @@
         (!s.suspect || self.trial_due(s)) && !open.tried.contains(&id) && self.room(s, share)
     }
 
-    /// Below this share of its cap, not over its budget as a cold server.
+    /// Below this share of its cap, not over its budget as a cold server; the same share of that is kept.
     fn room(&self, s: &Server, share: f64) -> bool {
         let below = f64::from(s.out + 1) <= (s.cap * share).max(1.0);
-        below && (self.warmth(s, self.now) >= 1.0 || self.allowance(s) >= 1.0)
+        below && self.now >= s.rest && (self.warmth(s, self.now) >= 1.0 || self.allowance(s) >= 1.0)
     }
 
     /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot by weight.
@@ -576,7 +579,7 @@
         if best.is_some() {
             return best;
         }
-        let unasked = self.set.routers > HERD && open.lot < UNASKED;
+        let unasked = open.lot >= ASKERS / f64::from(self.set.routers);
         let unasked = unasked && primary.is_some_and(|p| self.usable(p, open, READ_SHARE));
         if let Some(at) = required.filter(|_| !unasked)
             && self.ask_where(open, at, &replicas, out)
@@ -663,11 +666,12 @@
     }
 
     /// A thin router has nothing out when overload begins, so no cap binds: it lets in a share of its
-    /// reads, by what became of the last ones, and recovers by itself.
+    /// reads of a group, by what became of the last ones there, and recovers by itself.
     fn admits(&mut self, open: &Open, fell_back: bool) -> bool {
-        let share = &mut self.in_time[open.class][usize::from(fell_back)];
-        blend(share, 1.0, RECOVER);
-        open.lot < if fell_back { *share * *share } else { *share * ADMIT }
+        let missed = &mut self.groups.entry(open.group).or_default().missed[usize::from(fell_back)];
+        blend(missed, 0.0, RECOVER);
+        let share = 1.0 - *missed;
+        open.lot < if fell_back { share * share } else { share * ADMIT }
     }
 
     fn set_wake(&mut self, id: RequestId, at: Micros) {
@@ -906,8 +910,8 @@
         self.count_served(o.ending);
         let late = took > self.set.classes[class].aim;
         if late || matches!(o.ending, Ending::Ok | Ending::Timeout | Ending::Full) {
-            let share = &mut self.in_time[class][usize::from(fell_back)];
-            blend(share, f64::from(o.ending == Ending::Ok && !late), QUICK_BLEND);
+            let missed = &mut self.groups.entry(group).or_default().missed[usize::from(fell_back)];
+            blend(missed, f64::from(late || o.ending != Ending::Ok), QUICK_BLEND);
         }
         if !lost {
             self.ease(server, o.ending, class, took);
