Avoid a zone of which three servers fell silent; ask a replica where the primary is full

Ruled out: trials, some 90 sends in three seconds. At fault: suspect and usable knew silence by server only. And reads that do not ask were refused where the primary took no more, 4,047 of class status-check, though a replica may have had the data: choose. Three servers of a zone that fell silent with none heard since stand for the zone, until one answers or the list changes; a read the primary does not take asks.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,6 +28,8 @@
 const LONGEST_TRIAL: Micros = 4_000_000;
 /// Each router leaves so much time to each of the others: 20 trials a second of one server, however many.
 const TRIAL_TURN: Micros = 50_000;
+/// So many servers of a zone fell silent, and none was heard from, nor news of the list: reads avoid all.
+const LOST: u32 = 3;
 /// Pace of trying held requests again.
 const PACE: Micros = 100_000;
 /// Pause before sending again where the same server must take it; doubles with each attempt.
@@ -58,15 +60,12 @@
 /// Replicas asked where they stand for one read, and the pause before one too far behind is again.
 const ASKS: usize = 2;
 const FAR_PAUSE: Micros = 500_000;
-/// Of reads without a known fresh replica as many ask as did those of so many routers; the rest goes to the
-/// primary unasked, while that has room: probes are dear to thin routers.
+/// Of reads that know no fresh replica as many ask as those of so many routers; the rest tries the primary.
 const ASKERS: f64 = 35.0;
 /// A server that left is forgotten after this time: its process may only have been started again.
 const FORGET: Micros = 20_000_000;
 /// The least time that counts as late: a wake at the present would find nothing changed, without end.
 const SOON: Micros = 1_000;
-/// Least time between two log lines.
-const LOG_PACE: Micros = 1_000_000;
 
 #[derive(Default)]
 struct Server {
@@ -133,9 +132,8 @@
     /// Replicas asked where they stand for this read, and how long it waits for the last one.
     asked: Vec<ServerId>,
     ask_until: Option<Micros>,
-    /// Its lot: below the share of its class that is let in, it is.
+    /// Its lot: below the share of its group that is let in, it is.
     lot: f64,
-    fell_back: bool,
     /// First send that may have run.
     ran_at: Option<(Micros, ServerId)>,
     wake: Micros,
@@ -147,8 +145,6 @@
     sent: Micros,
     class: usize,
     session: Option<SessionId>,
-    /// A read for want of a fresh replica.
-    fell_back: bool,
     /// Given up for lost, or its answer has begun: it holds no place at its server any more.
     lost: bool,
     begun: Option<Micros>,
@@ -176,6 +172,9 @@
     armed: Micros,
     /// Mean and mean deviation of the latency of each class.
     latency: Vec<(f64, f64)>,
+    /// Servers of each zone that fell silent since one there was heard from.
+    silent: BTreeMap<ZoneId, u32>,
+    arrivals: i64,
     sessions: BTreeMap<SessionId, Micros>,
     forgotten: Option<Micros>,
     /// Ready servers; answers since a time; the most answers a ready server gave in a cold time.
@@ -183,9 +182,7 @@
     served: (f64, Micros),
     usual: f64,
     purse: f64,
-    arrivals: i64,
     ask_at: Option<Micros>,
-    logged_at: Option<Micros>,
 }
 
 impl Router {
@@ -204,15 +201,15 @@
             wakes: BTreeSet::new(),
             armed: Micros::MAX,
             latency,
+            silent: BTreeMap::new(),
+            arrivals: 0,
             sessions: BTreeMap::new(),
             forgotten: None,
             ready_count: 1,
             served: (0.0, now),
             usual: 0.0,
             purse: PURSES / 2.0 / f64::from(set.routers),
-            arrivals: 0,
             ask_at: None,
-            logged_at: None,
             set,
         };
         out.extend((router.set.list == ListMode::Asked).then_some(Action::FollowList));
@@ -278,6 +275,7 @@
         let named: BTreeSet<ServerId> = list.members.iter().map(|m| m.server).collect();
         let unnamed = |s: &&mut Server| list.complete && !named.contains(&s.line.server);
         let soft = self.set.soft_removal;
+        self.silent.clear();
         for s in self.servers.values_mut().filter(unnamed) {
             s.open &= soft;
             s.line.state = MemberState::Gone;
@@ -467,15 +465,15 @@
     }
 
     fn suspect(&mut self, id: ServerId, mute: bool, out: &mut Vec<Action>) {
-        let now = self.now;
         let Some(s) = self.servers.get_mut(&id) else { return };
-        s.mute |= mute;
-        if !s.suspect || Some(now) >= s.trial_at {
-            s.trial_at = Some(now + s.trial_wait.max(Micros::from(self.set.routers) * TRIAL_TURN));
+        if mute && !std::mem::replace(&mut s.mute, true) {
+            *self.silent.entry(s.line.zone).or_default() += 1;
+        }
+        if !s.suspect || Some(self.now) >= s.trial_at {
+            s.trial_at = Some(self.now + s.trial_wait.max(Micros::from(self.set.routers) * TRIAL_TURN));
             s.trial_wait = (s.trial_wait * 2).min(LONGEST_TRIAL);
         }
-        if !std::mem::replace(&mut s.suspect, true) && self.logged_at <= Some(now - LOG_PACE) {
-            self.logged_at = Some(now);
+        if !std::mem::replace(&mut s.suspect, true) {
             let why = if mute { "gives no sign of life" } else { "fails its requests" };
             out.push(Action::Log(format!("server {} {why}: reads avoid it", id.0)));
         }
@@ -486,6 +484,7 @@
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.last_reply = Some(self.now);
         s.mute = false;
+        self.silent.remove(&s.line.zone);
         self.tally(id, failed, out);
     }
 
@@ -507,7 +506,6 @@
         let now = self.now;
         let mean = self.latency[class].0 as Micros;
         let ratio = (took as f64 / self.set.classes[class].aim.max(1) as f64).min(2.0);
-        let least = LEAST_CAPS / f64::from(self.set.routers);
         let Some(s) = self.servers.get_mut(&id) else { return };
         match ending {
             Ending::Ok | Ending::Timeout | Ending::Cancelled => blend(&mut s.strain, ratio, QUICK_BLEND),
@@ -517,7 +515,8 @@
         if ending == Ending::Full || s.strain > CONGESTED {
             if s.eased_at < Some(now - mean) {
                 s.eased_at = Some(now);
-                s.cap = (s.cap.min(f64::from(s.out + 1)) * SHRINK).max(least);
+                s.cap =
+                    (s.cap.min(f64::from(s.out + 1)) * SHRINK).max(LEAST_CAPS / f64::from(self.set.routers));
                 // The answers to come were sent under the old cap: they must not shrink it again.
                 s.strain *= SHRINK;
             }
@@ -536,17 +535,18 @@
     }
 
     fn trial_due(&self, s: &Server) -> bool {
-        s.out == 0 && Some(self.now) >= s.trial_at
+        s.out == 0 && s.suspect && Some(self.now) >= s.trial_at
     }
 
     /// After its wait a suspect is one among the others, for one request at a time: a thin router would
     /// never clear it otherwise, and a next read from each of hundreds would be more than its share.
     fn usable(&self, id: ServerId, open: &Open, share: f64) -> bool {
         let Some(s) = self.ready(id) else { return false };
-        (!s.suspect || self.trial_due(s)) && !open.tried.contains(&id) && self.room(s, share)
+        let well = !s.suspect && self.silent.get(&s.line.zone) < Some(&LOST);
+        (well || self.trial_due(s)) && !open.tried.contains(&id) && self.room(s, share)
     }
 
-    /// Below this share of its cap, not over its budget as a cold server; the same share of that is kept.
+    /// Below this share of its cap, not over its budget as a cold server.
     fn room(&self, s: &Server, share: f64) -> bool {
         let below = f64::from(s.out + 1) <= (s.cap * share).max(1.0);
         below && self.now >= s.rest && (self.warmth(s, self.now) >= 1.0 || self.allowance(s) >= 1.0)
@@ -575,12 +575,12 @@
         let fresh: Vec<ServerId> = replicas.iter().filter(fresh).copied().collect();
         let able: Vec<ServerId> = fresh.iter().copied().filter(|r| self.usable(*r, open, 1.0)).collect();
         let best = self.least(&able);
-        open.fell_back = false;
         if best.is_some() {
             return best;
         }
         let unasked = open.lot >= ASKERS / f64::from(self.set.routers);
         let unasked = unasked && primary.is_some_and(|p| self.usable(p, open, READ_SHARE));
+        let unasked = unasked && self.admits(open, true);
         if let Some(at) = required.filter(|_| !unasked)
             && self.ask_where(open, at, &replicas, out)
         {
@@ -594,8 +594,7 @@
                 return Some(ahead);
             }
         }
-        open.fell_back = true;
-        if !self.admits(open, true) {
+        if !unasked && !self.admits(open, true) {
             return None;
         }
         if let Some(p) = primary.filter(|p| self.usable(*p, open, READ_SHARE)) {
@@ -603,7 +602,7 @@
         }
         // Suspicion never empties a group: the suspect due first rather than none.
         let share = |r: &ServerId| if Some(*r) == primary { READ_SHARE } else { 1.0 };
-        let last = |r: &ServerId| self.ready(*r).is_some_and(|s| s.suspect && self.room(s, share(r)));
+        let last = |r: &ServerId| self.ready(*r).is_some_and(|s| self.room(s, share(r)));
         let any = fresh.into_iter().chain(primary).filter(last).filter(|r| !open.tried.contains(r));
         any.min_by_key(|r| (self.servers[r].trial_at, *r))
     }
@@ -730,8 +729,8 @@
         s.allowed = (left, now);
         open.out.push(open.attempts);
         open.tried.push(to);
-        let Open { class, session, fell_back, useful, .. } = *open;
-        let flight = Flight { server: to, sent: now, class, session, fell_back, lost: false, begun: None };
+        let Open { class, session, useful, .. } = *open;
+        let flight = Flight { server: to, sent: now, class, session, lost: false, begun: None };
         self.flying.insert((id, open.attempts), flight);
         open.attempts += 1;
         out.push(Action::Send { request: id, server: to, patience: useful - now });
@@ -884,7 +883,7 @@
 
     fn outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
         let Some(flight) = self.flying.remove(&(o.request, o.attempt.0)) else { return };
-        let Flight { server, sent, class, session, fell_back, lost, begun } = flight;
+        let Flight { server, sent, class, session, lost, begun } = flight;
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = s.out.saturating_sub(u32::from(!lost));
         if matches!(o.ending, Ending::Ok | Ending::Miss | Ending::Error) {
@@ -910,6 +909,7 @@
         self.count_served(o.ending);
         let late = took > self.set.classes[class].aim;
         if late || matches!(o.ending, Ending::Ok | Ending::Timeout | Ending::Full) {
+            let fell_back = !self.to_primary(class) && self.primary(group) == Some(server);
             let missed = &mut self.groups.entry(group).or_default().missed[usize::from(fell_back)];
             blend(missed, f64::from(late || o.ending != Ending::Ok), QUICK_BLEND);
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -202,3 +202,37 @@
     let many = trials(400);
     assert!((100..=1_100).contains(&many), "{many} trials from 400 routers");
 }
+
+/// A zone is lost: a thin router must not pay for each of its servers anew. One answer from there brings it back.
+#[test]
+fn a_zone_whose_servers_fell_silent_is_avoided_until_one_answers() {
+    let mut rig = Rig::bare(Settings { zone: ZoneId(7), ..settings() });
+    let zone = |id: u32| if id.is_multiple_of(2) { ZoneId(7) } else { ZoneId(0) };
+    let of = |id: u32| Member { group: GroupId(id / 3), zone: zone(id), ..member(id, MemberState::Ready) };
+    // Groups of three: a primary, a replica in zone 0 or 7, and another in the other one.
+    let members = (30..60_u32).map(|id| Member { primary: id.is_multiple_of(3), ..of(id) });
+    rig.list(&members.collect::<Vec<_>>());
+    let read = |rig: &mut Rig, group: u32, lost: bool| {
+        let (id, got) = rig.ask_for(ANY, |r| r.group = GroupId(group));
+        let to = sends(&got)[0];
+        if lost && zone(to) == ZoneId(7) {
+            let more = rig.end(id, 0, to, Ending::ConnectFailed);
+            sends(&more).into_iter().for_each(|to| drop(rig.end(id, 1, to, Ending::Ok)));
+        } else {
+            rig.end(id, 0, to, Ending::Ok);
+        }
+        usize::from(zone(to) == ZoneId(7))
+    };
+    // All the groups' traffic, before and after the zone is lost.
+    let whole: usize = (0..400).map(|i| read(&mut rig, 10 + i % 10, false)).sum();
+    assert!(whole > 100, "{whole}");
+    let lost: usize = (0..400).map(|i| read(&mut rig, 10 + i % 10, true)).sum();
+    assert!(lost <= 3, "{lost} requests to a lost zone of ten replicas");
+    // News of the list may be of other servers there.
+    rig.feed(Event::Members(Members { complete: false, members: vec![of(30)] }));
+    let newly: usize = (0..400).map(|i| read(&mut rig, 10 + i % 10, true)).sum();
+    assert!((1..=3).contains(&newly), "{newly} after news of the list");
+    rig.now += 6_000 * MS;
+    let back: usize = (0..400).map(|i| read(&mut rig, 10 + i % 10, false)).sum();
+    assert!(back > 50, "{back} after one of them answered");
+}
