--- a/src/policy.rs
+++ b/src/policy.rs
@@ -174,7 +174,6 @@
     latency: Vec<(f64, f64)>,
     /// Servers of each zone that fell silent since one there was heard from.
     silent: BTreeMap<ZoneId, u32>,
-    arrivals: i64,
     sessions: BTreeMap<SessionId, Micros>,
     forgotten: Option<Micros>,
     /// Ready servers; answers since a time; the most answers a ready server gave in a cold time.
@@ -182,6 +181,7 @@
     served: (f64, Micros),
     usual: f64,
     purse: f64,
+    arrivals: i64,
     ask_at: Option<Micros>,
 }
 
@@ -202,13 +202,13 @@
             armed: Micros::MAX,
             latency,
             silent: BTreeMap::new(),
-            arrivals: 0,
             sessions: BTreeMap::new(),
             forgotten: None,
             ready_count: 1,
             served: (0.0, now),
             usual: 0.0,
             purse: PURSES / 2.0 / f64::from(set.routers),
+            arrivals: 0,
             ask_at: None,
             set,
         };
@@ -296,7 +296,7 @@
                 server.primary_at = None;
                 server.allowed = (phase, self.now);
                 (server.failing, server.suspect, server.mute) = (0.0, false, false);
-                (server.cap, server.strain, server.eased_at) = (FIRST_CAP / 2.0, 0.0, None);
+                (server.cap, server.strain, server.eased_at, server.rest) = (FIRST_CAP / 2.0, 0.0, None, 0);
             }
             self.groups.entry(server.line.group).or_default().members.remove(&m.server);
             self.groups.entry(m.group).or_default().members.insert(m.server);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -176,6 +176,15 @@
         }))
     }
 
+    /// Serves what these actions sent, each as the `n`th attempt of its request; gives what came of that.
+    pub fn serve(&mut self, n: u16, actions: &[Action]) -> Vec<Action> {
+        let sent = actions.iter().filter_map(|a| match a {
+            Action::Send { request, server, .. } => Some((request.0, server.0)),
+            _ => None,
+        });
+        sent.flat_map(|(request, server)| self.end(request, n, server, Ending::Ok)).collect()
+    }
+
     /// Tells the router by an answer where a server stands: `behind` the present.
     pub fn stands(&mut self, server: u32, role: Role, behind: Micros) -> Vec<Action> {
         let report = Report { position: Some(self.now - behind), role: Some(role) };
