--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,8 +28,6 @@
 const LONGEST_TRIAL: Micros = 4_000_000;
 /// Each router leaves so much time to each of the others: 20 trials a second of one server, however many.
 const TRIAL_TURN: Micros = 50_000;
-/// So many servers of a zone fell silent, and none was heard from, nor news of the list: reads avoid all.
-const LOST: u32 = 3;
 /// Pace of trying held requests again.
 const PACE: Micros = 100_000;
 /// Pause before sending again where the same server must take it; doubles with each attempt.
@@ -172,8 +170,6 @@
     armed: Micros,
     /// Mean and mean deviation of the latency of each class.
     latency: Vec<(f64, f64)>,
-    /// Servers of each zone that fell silent since one there was heard from.
-    silent: BTreeMap<ZoneId, u32>,
     sessions: BTreeMap<SessionId, Micros>,
     forgotten: Option<Micros>,
     /// Ready servers; answers since a time; the most answers a ready server gave in a cold time.
@@ -181,6 +177,8 @@
     served: (f64, Micros),
     usual: f64,
     purse: f64,
+    /// Share of the attempts of all groups that fell back on a primary and did not end within the aim.
+    fell: f64,
     arrivals: i64,
     ask_at: Option<Micros>,
 }
@@ -201,7 +199,6 @@
             wakes: BTreeSet::new(),
             armed: Micros::MAX,
             latency,
-            silent: BTreeMap::new(),
             sessions: BTreeMap::new(),
             forgotten: None,
             ready_count: 1,
@@ -209,6 +206,7 @@
             usual: 0.0,
             purse: PURSES / 2.0 / f64::from(set.routers),
             arrivals: 0,
+            fell: 0.0,
             ask_at: None,
             set,
         };
@@ -275,7 +273,6 @@
         let named: BTreeSet<ServerId> = list.members.iter().map(|m| m.server).collect();
         let unnamed = |s: &&mut Server| list.complete && !named.contains(&s.line.server);
         let soft = self.set.soft_removal;
-        self.silent.clear();
         for s in self.servers.values_mut().filter(unnamed) {
             s.open &= soft;
             s.line.state = MemberState::Gone;
@@ -466,9 +463,7 @@
 
     fn suspect(&mut self, id: ServerId, mute: bool, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if mute && !std::mem::replace(&mut s.mute, true) {
-            *self.silent.entry(s.line.zone).or_default() += 1;
-        }
+        s.mute |= mute;
         if !s.suspect || Some(self.now) >= s.trial_at {
             s.trial_at = Some(self.now + s.trial_wait.max(Micros::from(self.set.routers) * TRIAL_TURN));
             s.trial_wait = (s.trial_wait * 2).min(LONGEST_TRIAL);
@@ -484,7 +479,6 @@
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.last_reply = Some(self.now);
         s.mute = false;
-        self.silent.remove(&s.line.zone);
         self.tally(id, failed, out);
     }
 
@@ -542,8 +536,7 @@
     /// never clear it otherwise, and a next read from each of hundreds would be more than its share.
     fn usable(&self, id: ServerId, open: &Open, share: f64) -> bool {
         let Some(s) = self.ready(id) else { return false };
-        let well = !s.suspect && self.silent.get(&s.line.zone) < Some(&LOST);
-        (well || self.trial_due(s)) && !open.tried.contains(&id) && self.room(s, share)
+        (!s.suspect || self.trial_due(s)) && !open.tried.contains(&id) && self.room(s, share)
     }
 
     /// Below this share of its cap, not over its budget as a cold server.
@@ -665,11 +658,14 @@
     }
 
     /// A thin router has nothing out when overload begins, so no cap binds: it lets in a share of its
-    /// reads of a group, by what became of the last ones there, and recovers by itself.
+    /// reads of a group, by what became of the last ones there, and recovers by itself. It meets a group's
+    /// primary too seldom to learn of each: the more routers, the more those that fall back count for all.
     fn admits(&mut self, open: &Open, fell_back: bool) -> bool {
         let missed = &mut self.groups.entry(open.group).or_default().missed[usize::from(fell_back)];
         blend(missed, 0.0, RECOVER);
-        let share = 1.0 - *missed;
+        blend(&mut self.fell, 0.0, if fell_back { RECOVER } else { 0.0 });
+        let thin = (1.0 - ASKERS / f64::from(self.set.routers)).max(0.0);
+        let share = 1.0 - if fell_back { missed.max(self.fell * thin) } else { *missed };
         open.lot < if fell_back { share * share } else { share * ADMIT }
     }
 
@@ -911,7 +907,9 @@
         if late || matches!(o.ending, Ending::Ok | Ending::Timeout | Ending::Full) {
             let fell_back = !self.to_primary(class) && self.primary(group) == Some(server);
             let missed = &mut self.groups.entry(group).or_default().missed[usize::from(fell_back)];
-            blend(missed, f64::from(late || o.ending != Ending::Ok), QUICK_BLEND);
+            let miss = f64::from(late || o.ending != Ending::Ok);
+            blend(missed, miss, QUICK_BLEND);
+            blend(&mut self.fell, miss, if fell_back { BLEND } else { 0.0 });
         }
         if !lost {
             self.ease(server, o.ending, class, took);
