--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -211,7 +211,7 @@
         let one = |rig: &mut Rig| {
             let line = |id: u32| Member {
                 group: GroupId(id / 10),
-                primary: id % 10 == 0,
+                primary: id.is_multiple_of(10),
                 ..member(id, MemberState::Ready)
             };
             let ids = (0..20).flat_map(|g| [10 * g, 10 * g + 1]);
