--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -77,8 +77,13 @@
 const EVENTS: usize = 1024;
 const CHECKED_EVENTS: usize = 128;
 const SWEEP: Micros = 250_000;
-/// After SIGTERM connections still arrive for a while; they are served. Then idle clients are closed.
-const LINGER: Micros = 800_000;
+/// After SIGTERM connections still arrive for so long at the most; they are served.
+const NEWCOMERS: Micros = 400_000;
+/// What is taken later may not have its whole deadline before SIGKILL: that comes the longest deadline and this after
+/// SIGTERM, or later.
+const LAST_TAKEN: Micros = 700_000;
+/// Idle clients are closed then, well after the one and well before the other.
+const LINGER: Micros = NEWCOMERS + (LAST_TAKEN - NEWCOMERS) / 2;
 /// Where another process has the listener too, nobody new arrives here: idle clients have this time to ask once
 /// more, for an answer and the end behind it cross with no request.
 const HANDOVER: Micros = 600_000;
@@ -734,3 +739,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Whoever arrives is taken, and whatever is taken has its whole deadline before the process may be killed, with a
+    /// tenth of a second to spare for a loop that shares its core.
+    #[test]
+    fn what_is_taken_after_sigterm_has_its_deadline_before_the_kill() {
+        let kill_after = |deadline: Micros| deadline + LAST_TAKEN;
+        for deadline in [300_000, 3_000_000, 10_000_000] {
+            assert!(LINGER + deadline + 100_000 <= kill_after(deadline));
+            assert!(HANDOVER + deadline + 100_000 <= kill_after(deadline));
+        }
+        assert!(LINGER >= NEWCOMERS + 100_000, "those who still arrive find the door open");
+    }
+}
