--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -748,11 +748,9 @@
     /// tenth of a second to spare for a loop that shares its core.
     #[test]
     fn what_is_taken_after_sigterm_has_its_deadline_before_the_kill() {
-        let kill_after = |deadline: Micros| deadline + LAST_TAKEN;
-        for deadline in [300_000, 3_000_000, 10_000_000] {
-            assert!(LINGER + deadline + 100_000 <= kill_after(deadline));
-            assert!(HANDOVER + deadline + 100_000 <= kill_after(deadline));
-        }
-        assert!(LINGER >= NEWCOMERS + 100_000, "those who still arrive find the door open");
+        let spare = 100_000;
+        assert!((NEWCOMERS + spare..=LAST_TAKEN - spare).contains(&LINGER), "{LINGER}");
+        // With the listener handed over nobody arrives here: only the kill bounds that.
+        assert!((0..=LAST_TAKEN - spare).contains(&HANDOVER), "{HANDOVER}");
     }
 }
