Take the load report that comes with each answer, where the settings say so

Change: the report form is a small type, with whether answers carry reports; a usage that cannot be read in all its parts is none and spoils nothing.

--- a/proxy/src/net/pool.rs
+++ b/proxy/src/net/pool.rs
@@ -7,9 +7,9 @@
 use super::timers::Timers;
 use crate::core::{Attempt, Core, Reply};
 use crate::log::Quoted;
-use crate::pg::backend::{Backend, Heard};
+use crate::pg::backend::{Backend, Heard, ReportForm};
 use crate::pg::statement::Statement;
-use birchreach::{Ending, Micros, ServerId};
+use birchreach::{Ending, Micros, Reports, ServerId};
 use birchreach_settings::Site;
 use mio::net::TcpStream;
 use mio::{Interest, Registry};
@@ -72,7 +72,7 @@
     connect_timeout: Micros,
     check_timeout: Micros,
     idle_limit: Micros,
-    report: (Option<String>, Option<String>),
+    report: ReportForm,
 }
 
 /// Share of the idle time after which databases close that a connection is kept for: a request
@@ -96,7 +96,7 @@
             connect_timeout: 0,
             check_timeout: 0,
             idle_limit: 0,
-            report: (None, None),
+            report: ReportForm::default(),
         };
         pool.settings(site);
         pool
@@ -107,7 +107,11 @@
         let name = |place: Option<usize>| place.and_then(|p| site.report_names.get(p).cloned());
         self.connect_timeout = site.module.connect_timeout.max(1);
         self.idle_limit = (site.conn_idle as f64 * IDLE_KEPT) as Micros;
-        self.report = (name(site.report_position), name(site.report_role));
+        self.report = ReportForm {
+            position: name(site.report_position),
+            role: name(site.report_role),
+            in_answers: site.module.reports == Reports::Answers,
+        };
     }
 
     pub fn len(&self) -> usize {
--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -56,6 +56,18 @@
     error: Option<String>,
     role: Option<Role>,
     position: Option<Micros>,
+    /// The load report that came along.
+    usage: Option<Report>,
+}
+
+/// How databases write their load reports, by the settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReportForm {
+    /// The names of the log position and of the role, where reports hold them.
+    pub position: Option<String>,
+    pub role: Option<String>,
+    /// Each answer carries one, not those to probes alone.
+    pub in_answers: bool,
 }
 
 pub struct Backend {
@@ -63,16 +75,15 @@
     inbox: Inbox,
     pub out: Outbox,
     partial: Partial,
-    /// The names of a load report's position and role.
-    report: (Option<String>, Option<String>),
+    form: ReportForm,
 }
 
 impl Backend {
     /// A new connection; the startup message waits to be written.
-    pub fn new(report: (Option<String>, Option<String>)) -> Backend {
+    pub fn new(form: ReportForm) -> Backend {
         let mut out = Outbox::default();
         out.startup("api", "ledger");
-        Backend { phase: Phase::Startup, inbox: Inbox::default(), out, partial: Partial::default(), report }
+        Backend { phase: Phase::Startup, inbox: Inbox::default(), out, partial: Partial::default(), form }
     }
 
     /// Sends the statement on, unchanged but for the wait that is left.
@@ -161,6 +172,7 @@
             FromServer::ParameterStatus { name, value } => match name.as_str() {
                 "server_role" => self.partial.role = role(&value),
                 "commit_clock" => self.partial.position = millis(&value),
+                "usage" if self.form.in_answers => self.partial.usage = self.report(value.as_bytes()),
                 _ => {}
             },
             FromServer::Error { code } if self.phase == Phase::Startup => {
@@ -198,7 +210,7 @@
     /// Puts together what has come. The note is kept with whatever the query came to: a miss tells
     /// the role too.
     fn reply(&mut self, probe: bool) -> Reply {
-        let Partial { value, error, role, position, .. } = take(&mut self.partial);
+        let Partial { value, error, role, position, usage, .. } = take(&mut self.partial);
         let note = role.map(|role| Note { role, position });
         let ending = match error.as_deref() {
             Some(sqlstate::READ_ONLY | sqlstate::SNAPSHOT_TOO_OLD) => Ending::Miss,
@@ -206,7 +218,8 @@
             Some(_) => Ending::Error,
             None => Ending::Ok,
         };
-        let report = value.as_ref().filter(|_| probe && ending == Ending::Ok).and_then(|v| self.report(v));
+        let asked = value.as_ref().filter(|_| probe && ending == Ending::Ok);
+        let report = asked.map_or(usage, |v| self.report(&v.bytes));
         Reply {
             ending,
             value: value.filter(|_| ending == Ending::Ok && !probe),
@@ -218,20 +231,20 @@
 
     /// A report as `x0=1767225600.123,x1=1`: the position in seconds, where answers tell it in milliseconds. One
     /// that cannot be read in all its parts is none.
-    fn report(&self, value: &Value) -> Option<Report> {
-        let text = std::str::from_utf8(&value.bytes).ok()?;
+    fn report(&self, text: &[u8]) -> Option<Report> {
+        let text = std::str::from_utf8(text).ok()?;
         let field = |wanted: &str| {
             let (_, value) =
                 text.split(',').filter_map(|f| f.split_once('=')).find(|(name, _)| *name == wanted)?;
             value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
         };
-        let role = match self.report.1.as_deref().map(field) {
+        let role = match self.form.role.as_deref().map(field) {
             None => None,
             Some(Some(1.0)) => Some(Role::Primary),
             Some(Some(0.0)) => Some(Role::Replica),
             Some(_) => return None,
         };
-        let position = match self.report.0.as_deref().map(field) {
+        let position = match self.form.position.as_deref().map(field) {
             None => None,
             // Rounded down, by all that its last digit may have been rounded up: never read as later than it was.
             Some(seconds) => Some((seconds? * 1000.0 - 0.5).floor() as Micros * 1000),
