Leave fresh replicas to bounded reads; call off only what a probe finds silent

Ruled out: connections (no reset, no 53300), freshness (no stale miss). Now its server is probed first; an answer is a sign of life, silence ends the attempt as before. Where second copies may go nothing changes. Tests: mechanism.rs, three new.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,6 +47,13 @@
     Any,
 }
 
+impl Need {
+    /// The age that the data may have, where that is bounded.
+    pub fn bound(self) -> Option<Micros> {
+        if let Need::Bounded(age) = self { Some(age) } else { None }
+    }
+}
+
 /// Which servers drop a repeat of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,9 +1,7 @@
 //! Every decision of the router. Its types, events and actions: `src/interface.rs`.
 //!
 //! Writes go to the primary; each read goes to the replica, among those fresh enough, with the
-//! fewest outstanding requests per unit weight, own zone first while no busier. The sections
-//! answer in turn: who is a member, who is primary, what is fresh, who is healthy, how the server
-//! is chosen, when to retry, hold or refuse, and when to probe.
+//! fewest outstanding requests per unit weight, own zone first while no busier.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,7 +15,7 @@
 const QUICK_BLEND: f64 = 0.2;
 /// An attempt is overdue beyond the mean latency by this many mean deviations (as TCP does).
 const OVERDUE_DEVIATIONS: f64 = 4.0;
-/// Held work starts only with the mean latency and this many mean deviations left: most ends in time.
+/// Held work starts only with the mean latency and this many mean deviations left.
 const HOLD_DEVIATIONS: f64 = 2.0;
 /// Before any answer, the share of the class's aim taken for mean and deviation of latency.
 const FIRST_GUESS: f64 = 0.125;
@@ -69,8 +67,7 @@
 struct Server {
     /// Its newest line in the list.
     line: Member,
-    /// It may be sent new work. Where `gone` does not bind, that word changes nothing: a list that
-    /// wrongly calls servers gone would empty whole groups; real traffic tells which are.
+    /// It may be sent new work. Where `gone` does not bind, that word changes nothing: lists err.
     open: bool,
     /// Since when it is listed as gone, or not at all.
     gone_at: Option<Micros>,
@@ -107,8 +104,7 @@
     unprobed: bool,
 }
 
-/// A place among held requests: reads apart from writes, which may be waiting for a primary; the
-/// dearest first, then the newest: oldest first would start each with too little time left.
+/// A place among held requests: reads apart from writes; the dearest, then the newest first.
 type Place = (bool, i64, i64, RequestId);
 
 #[derive(Default)]
@@ -119,7 +115,7 @@
     token: Option<Micros>,
     /// The last moment when an answer is worth anything, never after the client gives up.
     useful: Micros,
-    /// No server has had it whole. Still so at half of its time, it is refused: its client can come back.
+    /// No server has had it whole; still so at half of its time, it is refused.
     unsent: bool,
     half: Micros,
     key: Place,
@@ -332,7 +328,7 @@
         s.suspect && s.trial_at > Some(now) && !writes
     }
 
-    /// Spread out, so that routers that failed together do not ask together again.
+    /// Spread out: routers that failed together must not ask together again.
     fn list_failed(&mut self) {
         let wait = ASK_AGAIN / 4 + self.rng.i64(0..ASK_AGAIN);
         self.ask_at = Some(self.now + wait).filter(|_| self.set.list == ListMode::Asked);
@@ -409,8 +405,7 @@
 
     fn learn_report(&mut self, id: ServerId, report: Option<Report>) {
         let Some(r) = report else { return };
-        // A primary stands at the present, so its position dates the report. An old report of a
-        // primary then loses against a newer note that it is none. Replica reports have no date.
+        // A primary stands at the present: its position dates the report. A newer note that it is none wins.
         match (r.role, r.position) {
             (Some(Role::Primary), Some(at)) => self.learn(id, r.role, r.position, at.min(self.now)),
             _ => self.learn(id, None, r.position, self.now),
@@ -532,8 +527,7 @@
         s.out == 0 && s.suspect && Some(self.now) >= s.trial_at
     }
 
-    /// After its wait a suspect is one among the others, for one request at a time: a thin router would
-    /// never clear it otherwise, and a next read from each of hundreds would be more than its share.
+    /// After its wait a suspect is one among the others, for one request at a time.
     fn usable(&self, id: ServerId, open: &Open, share: f64) -> bool {
         let Some(s) = self.ready(id) else { return false };
         (!s.suspect || self.trial_due(s)) && !open.tried.contains(&id) && self.room(s, share)
@@ -545,15 +539,20 @@
         below && self.now >= s.rest && (self.warmth(s, self.now) >= 1.0 || self.allowance(s) >= 1.0)
     }
 
-    /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot by weight.
-    fn least(&mut self, among: &[ServerId]) -> Option<ServerId> {
+    /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot by weight. A
+    /// read that `any` replica may answer leaves the fresh ones to others: ties go to the one furthest behind, and
+    /// one more is no busier where a replica is of no use to bounded reads.
+    fn least(&mut self, among: &[ServerId], any: bool) -> Option<ServerId> {
+        let bounds = self.set.classes.iter().filter_map(|c| c.need.bound());
+        let bound = bounds.min().filter(|_| any).unwrap_or(Micros::MAX);
         let rank = |id: &ServerId| {
             let s = &self.servers[id];
             let lot = -(1.0 - self.rng.f64()).ln() / s.line.weight;
-            (f64::from(s.out) / s.line.weight, s.line.zone != self.set.zone, lot, *id)
+            let busy = f64::from(s.out.saturating_sub(u32::from(s.lag > bound))) / s.line.weight;
+            (busy, s.line.zone != self.set.zone, s.position.filter(|_| any), lot, *id)
         };
         let ranks = among.iter().map(rank);
-        ranks.min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)).map(|rank| rank.3)
+        ranks.min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)).map(|rank| rank.4)
     }
 
     fn choose(&mut self, open: &mut Open, out: &mut Vec<Action>) -> Option<ServerId> {
@@ -567,7 +566,7 @@
         let fresh = |r: &&ServerId| required.is_none_or(|at| self.servers[*r].position >= Some(at));
         let fresh: Vec<ServerId> = replicas.iter().filter(fresh).copied().collect();
         let able: Vec<ServerId> = fresh.iter().copied().filter(|r| self.usable(*r, open, 1.0)).collect();
-        let best = self.least(&able);
+        let best = self.least(&able, self.set.classes[open.class].need == Need::Any);
         if best.is_some() {
             return best;
         }
@@ -613,8 +612,7 @@
         if !asks || open.ran_at.is_some() {
             return None;
         }
-        // Nobody is known to be primary: once round the members, a miss proves that nothing ran. The
-        // silent last: the lost primary, tried again, would swallow write after write.
+        // Nobody is known to be primary: once round the members (a miss: nothing ran), the silent last.
         let round = group.members.iter().filter(|m| alive(m) && free(m) && !open.tried.contains(m));
         round.copied().min_by_key(|m| (self.servers[m].mute, *m))
     }
@@ -752,9 +750,8 @@
         self.set_wake(id, at);
     }
 
-    /// May an attempt that is out still be written? A caller whose connection was long in coming asks
-    /// just before: the server may have been called draining or gone since, the primary that was to
-    /// answer a read may be none any more, and data ages while a group has no primary.
+    /// May an attempt that is out still be written? Asked just before, for connections may be long in coming:
+    /// the server may drain or be gone since, its role may have changed, and data ages.
     pub fn may_write(&self, now: Micros, id: RequestId, attempt: AttemptNo) -> bool {
         let (Some(open), Some(f)) = (self.open.get(&id), self.flying.get(&(id, attempt.0))) else {
             return false;
@@ -827,40 +824,42 @@
         }
     }
 
-    /// An attempt takes far longer than usual. If its server has answered nothing since, the
-    /// server is taken for mute, whatever the reason; the read goes elsewhere.
+    /// An attempt takes far longer than usual. If its server has answered nothing since, it is taken for
+    /// mute, and the read goes elsewhere: beside the first attempt, or, where that may not be, once a probe was
+    /// silent too. To call off what only takes long would lose its work.
     fn late(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let (class, useful) = (open.class, open.useful);
         let overdue = self.within(class, OVERDUE_DEVIATIONS);
+        let (mut silent, mut wait) = (Vec::new(), overdue);
         let is_late = |n: &u16| self.flying.get(&(id, *n)).is_some_and(|f| self.now - f.sent >= overdue);
         let late: Vec<u16> = open.out.iter().copied().filter(is_late).collect();
         for n in &late {
             let Some(f) = self.flying.get_mut(&(id, *n)).filter(|f| !f.lost) else { continue };
             let (server, sent) = (f.server, f.sent);
             let Some(s) = self.servers.get_mut(&server) else { continue };
-            if s.last_reply < Some(sent) {
+            if s.last_reply < Some(sent) && !self.set.parallel && self.set.may_probe && !s.unprobed && !s.mute
+            {
+                self.probe(server, out);
+                wait = self.set.connect_timeout.max(SOON);
+            } else if s.last_reply < Some(sent) {
                 self.suspect(server, true, out);
+                silent.push(*n);
             } else if s.answered > Some(sent) {
-                // The server goes on, and has answered what it was sent later: request or answer was
-                // lost. It gives its place back, or losses would fill the cap and shut the server.
+                // It has answered what it was sent later: this one is lost, and gives its place back.
                 f.lost = true;
                 s.out = s.out.saturating_sub(1);
             }
         }
         let safe = self.set.classes[class].effect == Effect::Safe;
-        if !late.is_empty() && self.purse >= 1.0 {
-            if self.set.parallel && self.dispatch(id, out) {
-                self.purse -= 1.0;
-                return;
-            } else if !self.set.parallel && safe && self.set.may_cancel {
-                // Never two at once: call it off; its outcome pays for the next.
-                for n in late {
-                    out.push(Action::Cancel { request: id, attempt: AttemptNo(n) });
-                }
-            }
+        if self.purse >= 1.0 && self.set.parallel && !late.is_empty() && self.dispatch(id, out) {
+            self.purse -= 1.0;
+            return;
         }
-        self.set_wake(id, useful.min(self.now + overdue));
+        // Never two at once: call it off; its outcome pays for the next.
+        silent.retain(|_| self.purse >= 1.0 && !self.set.parallel && safe && self.set.may_cancel);
+        out.extend(silent.iter().map(|n| Action::Cancel { request: id, attempt: AttemptNo(*n) }));
+        self.set_wake(id, useful.min(self.now + wait));
     }
 
     /// The answer belongs to the client now: no deadline, no other copy. The server's own work is done.
@@ -892,8 +891,7 @@
         let group = s.line.group;
         let took = begun.unwrap_or(self.now) - sent;
         if o.ending == Ending::ConnectFailed && took < self.set.connect_timeout {
-            // Turned down at once: no process runs. The list tells seconds late of the cold one that
-            // comes next, which all routers together would have pushed over by then.
+            // Turned down at once: no process runs, and the list tells seconds late of the cold one to come.
             s.down_at = Some(self.now);
             s.allowed = (s.allowed.0.min(self.rng.f64()), self.now);
         }
@@ -985,27 +983,32 @@
         if !tells || open.asked.len() >= ASKS {
             return false;
         }
-        let able = |r: &ServerId| {
-            !open.asked.contains(r) && self.usable(*r, open, 1.0) && !self.far(&self.servers[r], at)
-        };
+        let near = |r: &ServerId| self.usable(*r, open, 1.0) && !self.far(&self.servers[r], at);
+        let able = |r: &ServerId| !open.asked.contains(r) && near(r);
         let (deaf, answering): (Vec<ServerId>, Vec<ServerId>) =
             of.iter().copied().filter(able).partition(|r| self.servers[r].unprobed);
-        let Some(id) = self.least(&answering).or_else(|| self.least(&deaf)) else { return false };
+        let first = self.least(&answering, false);
+        let Some(id) = first.or_else(|| self.least(&deaf, false)) else { return false };
         // For a small part of the aim only: a probe may get no reply at all.
         open.ask_until = Some(self.now + (self.set.classes[open.class].aim as f64 * FIRST_GUESS) as Micros);
         open.asked.push(id);
-        if let Some(s) = self.servers.get_mut(&id)
-            && !std::mem::replace(&mut s.probe_out, true)
-        {
-            out.push(Action::Probe { server: id });
-        }
+        self.probe(id, out);
         true
     }
 
+    fn probe(&mut self, server: ServerId, out: &mut Vec<Action>) {
+        let asks = self.servers.get_mut(&server).is_some_and(|s| !std::mem::replace(&mut s.probe_out, true));
+        out.extend(asks.then_some(Action::Probe { server }));
+    }
+
     fn probed(&mut self, id: ServerId, ending: Ending, report: Option<Report>, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.probe_out = false;
         s.unprobed = ending != Ending::Ok;
+        // Beside a second copy a probe proves too little: a server may hang and still answer it.
+        if !s.unprobed && !self.set.parallel {
+            s.last_reply = Some(self.now);
+        }
         let group = s.line.group;
         self.learn_report(id, report.filter(|_| ending == Ending::Ok));
         self.release(group, out);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -302,3 +302,61 @@
     }
     assert!((260..340).contains(&heavy), "{heavy} of 400 to three quarters of the weight");
 }
+
+#[test]
+fn a_read_that_any_replica_may_answer_leaves_the_fresh_one_to_bounded_reads() {
+    let mut rig = Rig::new(settings());
+    rig.stands(R1, Role::Replica, 0);
+    rig.stands(R2, Role::Replica, 400 * MS);
+    let mut went = [ANY, ANY, ANY].map(|class| sends(&rig.ask(class).1)[0]);
+    assert_eq!(went, [R2, R2, R1], "one more at the one that is of no use to bounded reads, then the fewest");
+    rig.stands(R2, Role::Replica, 0);
+    rig.stands(R1, Role::Replica, 0);
+    let mut rig = Rig::new(settings());
+    rig.stands(R1, Role::Replica, 0);
+    rig.stands(R2, Role::Replica, 200 * MS);
+    went = [ANY, ANY, ANY].map(|class| sends(&rig.ask(class).1)[0]);
+    assert_eq!(went, [R2, R1, R2], "within the bound only a tie is decided so");
+}
+
+/// Settings under which no second copy may go out beside the first.
+fn one_at_a_time() -> Settings {
+    Settings { parallel: false, may_probe: true, ..settings() }
+}
+
+fn cancels(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Cancel { .. })).count()
+}
+
+#[test]
+fn what_only_takes_long_is_not_called_off_where_no_second_copy_may_go() {
+    let mut rig = Rig::new(one_at_a_time());
+    let (id, got) = rig.ask(ANY);
+    let server = sends(&got)[0];
+    // The request outlasts the mean by far; its server is asked, and answers beside its queue.
+    let got = rig.pass(400 * MS);
+    assert!(got.contains(&Action::Probe { server: ServerId(server) }) && cancels(&got) == 0);
+    rig.feed(Event::Probed { server: ServerId(server), ending: Ending::Ok, report: None });
+    assert_eq!(
+        cancels(&rig.pass(1_500 * MS)),
+        0,
+        "found on a quiet day: redone from the start, it ends too late"
+    );
+    assert!(!rig.router.avoids(rig.now, ServerId(server)), "nor is its server shunned for it");
+    assert!(!refused(&rig.end(id, 0, server, Ending::Ok)));
+}
+
+#[test]
+fn a_server_that_is_silent_to_a_probe_too_loses_its_read_to_another() {
+    let mut rig = Rig::new(one_at_a_time());
+    let (id, got) = rig.ask(ANY);
+    let server = sends(&got)[0];
+    rig.pass(400 * MS);
+    rig.feed(Event::Probed { server: ServerId(server), ending: Ending::Timeout, report: None });
+    let got = rig.pass(300 * MS);
+    assert_eq!(cancels(&got), 1);
+    assert!(rig.router.avoids(rig.now, ServerId(server)));
+    let got = rig.end(id, 0, server, Ending::Cancelled);
+    assert_eq!(sends(&got).len(), 1);
+    assert_ne!(sends(&got), [server]);
+}
