--- a/src/policy.rs
+++ b/src/policy.rs
@@ -540,8 +540,8 @@
     }
 
     /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot by weight. A
-    /// read that `any` replica may answer leaves the fresh ones to others: ties go to the one furthest behind, and
-    /// one more is no busier where a replica is of no use to bounded reads.
+    /// read that `any` replica may answer leaves the fresh ones to others: ties go to the one furthest behind,
+    /// and one more is no busier where a replica is of no use to bounded reads.
     fn least(&mut self, among: &[ServerId], any: bool) -> Option<ServerId> {
         let bounds = self.set.classes.iter().filter_map(|c| c.need.bound());
         let bound = bounds.min().filter(|_| any).unwrap_or(Micros::MAX);
@@ -825,8 +825,8 @@
     }
 
     /// An attempt takes far longer than usual. If its server has answered nothing since, it is taken for
-    /// mute, and the read goes elsewhere: beside the first attempt, or, where that may not be, once a probe was
-    /// silent too. To call off what only takes long would lose its work.
+    /// mute, and the read goes elsewhere: beside the first attempt, or, where that may not be, once a probe
+    /// was silent too. To call off what only takes long would lose its work.
     fn late(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let (class, useful) = (open.class, open.useful);
