--- a/src/policy.rs
+++ b/src/policy.rs
@@ -540,8 +540,8 @@
     }
 
     /// The fewest outstanding per unit weight; own zone first while no busier; ties by a lot by weight. A
-    /// read that `any` replica may answer leaves the fresh ones to others: ties go to the one furthest behind,
-    /// and one more is no busier where a replica is of no use to bounded reads.
+    /// read that `any` replica may answer leaves the fresh ones to others: ties go to the one furthest
+    /// behind, and one more is no busier where a replica is of no use to bounded reads.
     fn least(&mut self, among: &[ServerId], any: bool) -> Option<ServerId> {
         let bounds = self.set.classes.iter().filter_map(|c| c.need.bound());
         let bound = bounds.min().filter(|_| any).unwrap_or(Micros::MAX);
