Ties of any reads by what was heard of lag, so that the silent draw none

Change: ties go to the replica furthest behind when last heard, where that is behind the tightest bound; else by lot as before. Test: a_replica_that_fell_silent_draws_no_more_of_such_reads_than_others.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -548,8 +548,9 @@
         let rank = |id: &ServerId| {
             let s = &self.servers[id];
             let lot = -(1.0 - self.rng.f64()).ln() / s.line.weight;
-            let busy = f64::from(s.out.saturating_sub(u32::from(s.lag > bound))) / s.line.weight;
-            (busy, s.line.zone != self.set.zone, s.position.filter(|_| any), lot, *id)
+            let behind = Some(s.lag).filter(|lag| *lag > bound);
+            let busy = f64::from(s.out.saturating_sub(u32::from(behind.is_some()))) / s.line.weight;
+            (busy, s.line.zone != self.set.zone, std::cmp::Reverse(behind), lot, *id)
         };
         let ranks = among.iter().map(rank);
         ranks.min_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal)).map(|rank| rank.4)
