--- a/src/policy.rs
+++ b/src/policy.rs
@@ -857,7 +857,6 @@
             self.purse -= 1.0;
             return;
         }
-        // Never two at once: call it off; its outcome pays for the next.
         silent.retain(|_| self.purse >= 1.0 && !self.set.parallel && safe && self.set.may_cancel);
         out.extend(silent.iter().map(|n| Action::Cancel { request: id, attempt: AttemptNo(*n) }));
         self.set_wake(id, useful.min(self.now + wait));
@@ -986,8 +985,8 @@
         }
         let near = |r: &ServerId| self.usable(*r, open, 1.0) && !self.far(&self.servers[r], at);
         let able = |r: &ServerId| !open.asked.contains(r) && near(r);
-        let (deaf, answering): (Vec<ServerId>, Vec<ServerId>) =
-            of.iter().copied().filter(able).partition(|r| self.servers[r].unprobed);
+        let (deaf, answering): (Vec<_>, Vec<_>) =
+            of.iter().filter(|r| able(r)).partition(|r| self.servers[r].unprobed);
         let first = self.least(&answering, false);
         let Some(id) = first.or_else(|| self.least(&deaf, false)) else { return false };
         // For a small part of the aim only: a probe may get no reply at all.
