Module: silence counts from the probe's own time; a lost read goes out again

Cause, read from the code of late() and probed() (src/policy.rs): (1) a read whose answer was lost by a server that lives was marked lost and passed over for good by 'filter(|f| !f.lost)': refused when its time was up. (2) 'unprobed' was a flag: one failed probe counted as silence for every read sent later, until a probe was answered. (3) any ending but Ok counted as silence, so also a server that turned the probe away (57P03, an error), which lives.

Change: 'unprobed' is the time of the failed probe and counts only for what was sent before; an error or a refusal is a sign of life; a lost read is called off when it takes twice what is overdue (0.04% of exponential times, by arithmetic, against 2% at once).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,8 +100,8 @@
     trial_at: Option<Micros>,
     trial_wait: Micros,
     probe_out: bool,
-    /// Its last probe failed, which says nothing of its requests.
-    unprobed: bool,
+    /// When its last probe failed, if it did, which says nothing of its requests.
+    unprobed: Option<Micros>,
 }
 
 /// A place among held requests: reads apart from writes; the dearest, then the newest first.
@@ -827,38 +827,39 @@
 
     /// An attempt takes far longer than usual. If its server has answered nothing since, it is taken for
     /// mute, and the read goes elsewhere: beside the first attempt, or, where that may not be, once a probe
-    /// was silent too. To call off what only takes long would lose its work.
+    /// was silent too. What only takes long keeps its work, if not twice as long while others are answered.
     fn late(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id) else { return };
-        let (class, useful) = (open.class, open.useful);
+        let Some(open @ &Open { class, useful, .. }) = self.open.get(&id) else { return };
         let overdue = self.within(class, OVERDUE_DEVIATIONS);
-        let (mut silent, mut wait) = (Vec::new(), overdue);
-        let is_late = |n: &u16| self.flying.get(&(id, *n)).is_some_and(|f| self.now - f.sent >= overdue);
-        let late: Vec<u16> = open.out.iter().copied().filter(is_late).collect();
+        let (mut over, mut wait) = (Vec::new(), overdue);
+        let mut late = open.out.clone();
+        late.retain(|n| self.flying.get(&(id, *n)).is_some_and(|f| self.now - f.sent >= overdue));
         for n in &late {
-            let Some(f) = self.flying.get_mut(&(id, *n)).filter(|f| !f.lost) else { continue };
-            let (server, sent) = (f.server, f.sent);
-            let Some(s) = self.servers.get_mut(&server) else { continue };
-            if s.last_reply < Some(sent) && !self.set.parallel && self.set.may_probe && !s.unprobed && !s.mute
-            {
+            let Some(f) = self.flying.get_mut(&(id, *n)) else { continue };
+            let Some(s) = self.servers.get_mut(&f.server) else { continue };
+            let (server, sent, quiet) = (f.server, f.sent, s.last_reply < Some(f.sent));
+            let asks = !self.set.parallel && self.set.may_probe && s.unprobed < Some(sent) && !s.mute;
+            if f.lost {
+                over.extend(Some(*n).filter(|_| self.now - sent >= 2 * overdue));
+            } else if quiet && asks {
                 self.probe(server, out);
                 wait = self.set.connect_timeout.max(SOON);
-            } else if s.last_reply < Some(sent) {
+            } else if quiet {
                 self.suspect(server, true, out);
-                silent.push(*n);
+                over.push(*n);
             } else if s.answered > Some(sent) {
                 // It has answered what it was sent later: this one is lost, and gives its place back.
                 f.lost = true;
                 s.out = s.out.saturating_sub(1);
             }
         }
-        let safe = self.set.classes[class].effect == Effect::Safe;
         if self.purse >= 1.0 && self.set.parallel && !late.is_empty() && self.dispatch(id, out) {
             self.purse -= 1.0;
             return;
         }
-        silent.retain(|_| self.purse >= 1.0 && !self.set.parallel && safe && self.set.may_cancel);
-        out.extend(silent.iter().map(|n| Action::Cancel { request: id, attempt: AttemptNo(*n) }));
+        let safe = self.set.classes[class].effect == Effect::Safe;
+        over.retain(|_| self.purse >= 1.0 && !self.set.parallel && safe && self.set.may_cancel);
+        out.extend(over.iter().map(|n| Action::Cancel { request: id, attempt: AttemptNo(*n) }));
         self.set_wake(id, useful.min(self.now + wait));
     }
 
@@ -915,12 +916,10 @@
         self.learn_report(server, o.report);
         if let Some(note) = o.note {
             self.learn(server, Some(note.role), note.position, self.now);
-        }
-        if o.ending == Ending::Ok
-            && self.set.classes[class].need == Need::Write
-            && let Some(commit) = o.note.and_then(|n| n.position)
-        {
-            self.remember(session, commit);
+            let written = o.ending == Ending::Ok && self.set.classes[class].need == Need::Write;
+            if let Some(commit) = note.position.filter(|_| written) {
+                self.remember(session, commit);
+            }
         }
         match o.ending {
             Ending::Ok | Ending::Miss => self.heard(server, false, out),
@@ -986,7 +985,7 @@
         let near = |r: &ServerId| self.usable(*r, open, 1.0) && !self.far(&self.servers[r], at);
         let able = |r: &ServerId| !open.asked.contains(r) && near(r);
         let (deaf, answering): (Vec<_>, Vec<_>) =
-            of.iter().filter(|r| able(r)).partition(|r| self.servers[r].unprobed);
+            of.iter().filter(|r| able(r)).partition(|r| self.servers[r].unprobed.is_some());
         let first = self.least(&answering, false);
         let Some(id) = first.or_else(|| self.least(&deaf, false)) else { return false };
         // For a small part of the aim only: a probe may get no reply at all.
@@ -1004,9 +1003,9 @@
     fn probed(&mut self, id: ServerId, ending: Ending, report: Option<Report>, out: &mut Vec<Action>) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.probe_out = false;
-        s.unprobed = ending != Ending::Ok;
+        s.unprobed = Some(self.now).filter(|_| !matches!(ending, Ending::Ok | Ending::Moot));
         // Beside a second copy a probe proves too little: a server may hang and still answer it.
-        if !s.unprobed && !self.set.parallel {
+        if !self.set.parallel && matches!(ending, Ending::Ok | Ending::Error | Ending::Full | Ending::Miss) {
             s.last_reply = Some(self.now);
         }
         let group = s.line.group;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -369,3 +369,64 @@
     assert_eq!(sends(&got).len(), 1);
     assert_ne!(sends(&got), [server]);
 }
+
+/// A read sent before a probe of its server ended so, and what came of it a while later.
+fn after_a_probe(rig: &mut Rig, ending: Ending) -> (u64, u32, Vec<Action>) {
+    let (id, got) = rig.ask(ANY);
+    let server = sends(&got)[0];
+    rig.pass(400 * MS);
+    rig.feed(Event::Probed { server: ServerId(server), ending, report: None });
+    (id, server, rig.pass(300 * MS))
+}
+
+#[test]
+fn a_server_that_turns_a_probe_away_is_alive_and_its_read_is_not_called_off() {
+    for ending in [Ending::Full, Ending::Error, Ending::Miss] {
+        let mut rig = Rig::new(one_at_a_time());
+        let (_, server, got) = after_a_probe(&mut rig, ending);
+        assert_eq!(cancels(&got), 0, "{ending:?} is an answer");
+        assert!(!rig.router.avoids(rig.now, ServerId(server)));
+    }
+}
+
+#[test]
+fn a_probe_that_failed_long_ago_is_no_silence_to_what_is_sent_later() {
+    let mut rig = Rig::bare(one_at_a_time());
+    rig.list(&[P, R1].map(|id| member(id, MemberState::Ready)));
+    let (id, server, got) = after_a_probe(&mut rig, Ending::Timeout);
+    assert_eq!((server, cancels(&got)), (R1, 1));
+    // It lives after all: the answer came just before the read was called off.
+    rig.end(id, 0, R1, Ending::Ok);
+    rig.pass(1_000 * MS);
+    assert_eq!(sends(&rig.ask(ANY).1), [R1]);
+    let got = rig.pass(700 * MS);
+    assert_eq!(cancels(&got), 0, "it was not asked about this one yet");
+    assert!(got.contains(&Action::Probe { server: ServerId(R1) }));
+}
+
+#[test]
+fn a_read_whose_answer_was_lost_goes_out_again_once_the_first_is_called_off() {
+    let mut rig = Rig::new(one_at_a_time());
+    let (lost, got) = rig.ask_for(ANY, |r| r.patience = 20_000 * MS);
+    let server = sends(&got)[0];
+    rig.pass(10 * MS);
+    // Its server answers what it was sent later; the other one is as busy.
+    for _ in 0..12 {
+        let asked = [rig.ask(ANY), rig.ask(ANY)];
+        rig.pass(10 * MS);
+        for (id, got) in asked {
+            rig.end(id, 0, sends(&got)[0], Ending::Ok);
+        }
+    }
+    let mut called_off = 0;
+    for _ in 0..400 {
+        called_off += cancels(&rig.pass(5 * MS));
+        if called_off > 0 {
+            break;
+        }
+    }
+    assert_eq!(called_off, 1);
+    assert!(!rig.router.avoids(rig.now, ServerId(server)), "it answers others");
+    let got = rig.end(lost, 0, server, Ending::Cancelled);
+    assert_eq!(sends(&got).len(), 1, "{got:?}");
+}
