Settings: doubts are told; a class untold goes to the primary; reports going back are none

Seen: a class without an entry in extra.class_read counted as 'any' (settings/src/lib.rs, the word absent), so that a write went to replicas; unknown keys were passed over without a word; a report that went back set the lag of its server (learn() in src/policy.rs), by which reads are drawn.

What came out again: doubts before event=started, which tests and tools read as the first line.

--- a/proxy/src/cli.rs
+++ b/proxy/src/cli.rs
@@ -41,7 +41,8 @@
 pub enum Command {
     /// Serve clients until told to stop (the default)
     Serve,
-    /// Read configuration and options, print every fault with file, line and element; exit 2 if there is one
+    /// Read configuration and options, print every fault with file, line and element; exit 2 if there is one.
+    /// Doubts, such as keys that nothing knows, are printed too and do no harm
     Check(Check),
     /// Ask a running proxy how it is; exit 0 if it is able, 1 if not, 2 if it was not reached
     Health(Health),
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -35,6 +35,8 @@
     pub options: Options,
     /// The keys among proxies, where the options name a file of them.
     pub keys: Option<Keys>,
+    /// What the settings are likely not to mean; served with all the same.
+    pub doubts: Vec<String>,
     /// The settings and limits as the file has them.
     pub raw: Value,
 }
@@ -107,20 +109,22 @@
     Ok(config)
 }
 
-/// Every fault of both files.
-pub fn check(env: impl Fn(&str) -> Option<String>, options: Option<&Path>) -> Vec<Fault> {
+/// Every fault of both files, and every doubt about the configuration.
+pub fn check(env: impl Fn(&str) -> Option<String>, options: Option<&Path>) -> (Vec<Fault>, Vec<Fault>) {
     let whole =
         |file: &Path, message: String| Fault { file: file.into(), line: 1, element: "file".into(), message };
     let Some(path) = env("RELAY_CONFIG").map(PathBuf::from) else {
-        return vec![whole(Path::new("RELAY_CONFIG"), "not set: it must name the configuration file".into())];
+        let unset = "not set: it must name the configuration file".into();
+        return (vec![whole(Path::new("RELAY_CONFIG"), unset)], Vec::new());
     };
-    let mut faults = Vec::new();
+    let (mut faults, mut doubts) = (Vec::new(), Vec::new());
     let config = match std::fs::read_to_string(&path) {
         Err(e) => {
             faults.push(whole(&path, e.to_string()));
             None
         }
         Ok(text) => parse(&text, env)
+            .inspect(|config| doubts.extend(config.doubts.iter().map(|doubt| located(&path, &text, doubt))))
             .map_err(|told| faults.extend(told.iter().map(|message| located(&path, &text, message))))
             .ok(),
     };
@@ -133,7 +137,7 @@
         faults.extend(read.err().unwrap_or_default());
         faults.extend(named.and_then(|knowledge| keys(&knowledge.key_file).err()));
     }
-    faults
+    (faults, doubts)
 }
 
 fn options_alone(path: &Path) -> Result<Options, Vec<Fault>> {
@@ -278,6 +282,9 @@
                 seed: seed(root.get("seed")),
                 sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
                 known,
+                doubts: root
+                    .get("settings")
+                    .map_or_else(Vec::new, |told| birchreach_settings::doubts(told, &site)),
                 site,
                 options: Options::default(),
                 keys: None,
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -36,10 +36,13 @@
                 Some(path) if name == "RELAY_CONFIG" => path.to_str().map(Into::into),
                 _ => config::environment(name),
             };
-            let faults = config::check(told, options.as_deref());
-            let lines: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
-            let (code, text) = if faults.is_empty() { (0, "no faults\n".into()) } else { (2, lines) };
-            finish(code, &text);
+            let (faults, doubts) = config::check(told, options.as_deref());
+            let mut text: String = faults.iter().map(|fault| format!("{fault}\n")).collect();
+            text.extend(doubts.iter().map(|doubt| format!("doubt: {doubt}\n")));
+            if faults.is_empty() {
+                text.push_str("no faults\n");
+            }
+            finish(if faults.is_empty() { 0 } else { 2 }, &text);
         }
         Some(Command::Health(health)) => {
             let options = options.map(|path| {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -73,6 +73,8 @@
 const OWN_SOCKETS: usize = 16 + door::MOST;
 /// Fewer would serve nobody; the own ones are seldom all in use.
 const LEAST_PLACES: usize = 8;
+/// Doubts about one configuration that the log is told of; `check` prints all.
+const DOUBTS_TOLD: usize = 20;
 /// What is ready and taken in one turn, at most: a request costs some 50 us, and balancers wait for a turn's end.
 const EVENTS: usize = 1024;
 const CHECKED_EVENTS: usize = 128;
@@ -177,6 +179,13 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("no signals: {e}"))
 }
 
+/// What the settings are likely not to mean, a line each.
+fn tell_doubts(config: &Config) {
+    for doubt in config.doubts.iter().take(DOUBTS_TOLD) {
+        warn!(event = "settings-doubt", about = %Quoted(doubt.clone()));
+    }
+}
+
 /// Serves until told to stop.
 pub fn run(mut config: Config, options: Option<PathBuf>, mut signals: Signals) -> Result<(), String> {
     let poll = Poll::new().map_err(|e| format!("no poll: {e}"))?;
@@ -223,6 +232,7 @@
     let Config { name, discovery, .. } = &proxy.config;
     let operator = proxy.door.address().map(tracing::field::display);
     info!(event = "started", name, %listen, %discovery, operator);
+    tell_doubts(&proxy.config);
     proxy.start_health()?;
     proxy.start_gossip()?;
     if let Some(known) = known {
@@ -550,6 +560,7 @@
         (new.options.knowledge, new.keys) = (self.config.options.knowledge.clone(), self.config.keys.clone());
         let classes = new.site.class_names.join(",");
         info!(event = "reloaded", discovery = %new.discovery, classes, "needs-restart" = rest);
+        tell_doubts(&new);
         // Requests that are open keep the deadlines that they came with.
         self.longest_deadline = longest_deadline(&new.site).max(longest_deadline(&self.config.site));
         let reserve = reserve(&new);
--- a/proxy/tests/health.rs
+++ b/proxy/tests/health.rs
@@ -457,5 +457,11 @@
         "{text}"
     );
     assert_eq!(run(&["check", "--config", json]), (Some(0), "no faults\n".into()));
+    std::fs::write(json, whole.replace("\"my_zone\": 0,", "\"my_zone\": 7, \"my_rack\": 1,")).unwrap();
+    let (code, text) = run(&["check", "--config", json]);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!((code, lines.len(), lines.last()), (Some(0), 3, Some(&"no faults")), "{text}");
+    assert!(lines[0].starts_with(&format!("doubt: {json}:4: settings: my_rack: unknown")), "{text}");
+    assert!(lines[1].starts_with(&format!("doubt: {json}:4: settings: my_zone: ")), "{text}");
     assert_eq!(run(&["check", "--config", "/none"]).0, Some(2));
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,7 +1,10 @@
 //! The settings JSON, as the simulator's first message and a proxy's configuration hold it, read
-//! once into what the decision module and its hosts need. Unknown keys are skipped.
+//! once into what the decision module and its hosts need. Unknown keys are skipped, and told as doubts.
+
+mod doubts;
 
 use birchreach::*;
+pub use doubts::doubts;
 use serde_json::Value;
 use std::cell::RefCell;
 
@@ -136,13 +139,13 @@
     for (i, class) in list("classes").iter().enumerate() {
         let key = |name: &str| format!("classes[{i}].{name}");
         let num = |name: &str, absent| faults.or(number(class.get(name), &key(name), absent), 0.0);
-        let need = match word(reads.get(i), "extra.class_read", "any") {
+        let need = match word(reads.get(i), "extra.class_read", "fresh") {
             "write" => Need::Write,
             "fresh" => Need::Fresh,
             "session" => Need::Session,
             "bounded" => Need::Bounded(span(faults.or(number(ages.get(i), "extra.max_age_ms", None), 0.0))),
             "any" => Need::Any,
-            _ => faults.or(bad("extra.class_read", "write, fresh, session, bounded or any"), Need::Any),
+            _ => faults.or(bad("extra.class_read", "write, fresh, session, bounded or any"), Need::Fresh),
         };
         let effect = match word(class.get("idempotency"), &key("idempotency"), "single_shot") {
             "free" => Effect::Safe,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -392,8 +392,9 @@
     /// What a server said of itself at a time up to `at`.
     fn learn(&mut self, id: ServerId, role: Option<Role>, position: Option<Micros>, at: Micros) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if let Some(position) = position {
-            s.position = s.position.max(Some(position.min(self.now)));
+        // One that goes back is older than what is known, or spoilt.
+        if let Some(position) = position.map(|p| p.min(self.now)).filter(|p| s.position <= Some(*p)) {
+            s.position = Some(position);
             (s.lag, s.lag_at) = (self.now - position, Some(self.now));
         }
         match role {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -75,3 +75,16 @@
     let sent: usize = (0..20).map(|_| sends(&rig.ask(ANY).1).len() + sends(&rig.pass(100 * MS)).len()).sum();
     assert!(sent > 0, "a cold server of its group's only ones gets its part");
 }
+
+#[test]
+fn a_report_that_goes_back_counts_as_none() {
+    // By the lag that it would tell, the replica would draw the reads that any may answer, two at a time.
+    let mut rig = Rig::new(settings());
+    rig.stands(R1, Role::Replica, 0);
+    rig.stands(R2, Role::Replica, 0);
+    rig.stands(R2, Role::Replica, 90_000 * MS);
+    let mut went = [ANY, ANY, ANY].map(|class| sends(&rig.ask(class).1)[0]);
+    went[..2].sort();
+    assert_eq!(went[..2], [R1, R2], "one each");
+    assert_eq!(sends(&rig.ask(BOUNDED).1).len(), 1, "and what was proven stands");
+}
