Module: no probe is paid for a read while the primary is seen at ease

At fault: choose() in src/policy.rs asked whenever no replica was known fresh.

Change: no asking while the primary's answers take less than half of what counts as congested (CONGESTED, as it was) and the group's reads that fell back were in time of late (SELDOM 0.05: the moving mean forgets a miss after some ten answers). A router without evidence asks.

--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -312,7 +312,7 @@
     read write split pipelined encryption extended forms miss reset refused full cancel
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
-    spoilt surplus unreadable_report answers_report spoilt_usage rude unfinished
+    spoilt surplus unreadable_report future_report answers_report spoilt_usage rude unfinished
     operator upgrade stream retune
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,8 @@
 /// Replicas asked where they stand for one read, and the pause before one too far behind is again.
 const ASKS: usize = 2;
 const FAR_PAUSE: Micros = 500_000;
+/// Reads that fell back miss seldom: the last miss is some ten answers or a hundred tries past.
+const SELDOM: f64 = 0.05;
 /// Of reads that know no fresh replica as many ask as those of so many routers; the rest tries the primary.
 const ASKERS: f64 = 35.0;
 /// A server that left is forgotten after this time: its process may only have been started again.
@@ -562,19 +564,21 @@
         if self.to_primary(open.class) {
             return self.choose_primary(open, primary);
         }
-        let members = self.groups.get(&open.group)?.members.iter().copied();
-        let replicas: Vec<ServerId> = members.filter(|m| Some(*m) != primary).collect();
+        let Group { members, missed, .. } = self.groups.get(&open.group)?;
+        let well = missed[1] < SELDOM;
+        let replicas: Vec<ServerId> = members.iter().copied().filter(|m| Some(*m) != primary).collect();
         let required = self.required(open, self.now);
         let fresh = |r: &&ServerId| required.is_none_or(|at| self.servers[*r].position >= Some(at));
         let fresh: Vec<ServerId> = replicas.iter().filter(fresh).copied().collect();
         let able: Vec<ServerId> = fresh.iter().copied().filter(|r| self.usable(*r, open, 1.0)).collect();
-        let best = self.least(&able, self.set.classes[open.class].need == Need::Any);
-        if best.is_some() {
-            return best;
-        }
-        let unasked = open.lot >= ASKERS / f64::from(self.set.routers);
-        let unasked = unasked && primary.is_some_and(|p| self.usable(p, open, READ_SHARE));
-        let unasked = unasked && self.admits(open, true);
+        if let Some(best) = self.least(&able, self.set.classes[open.class].need == Need::Any) {
+            return Some(best);
+        }
+        // Asking is not worth its price while the primary is at ease and what fell back on it was in time.
+        let at_ease = |p| well && (f64::MIN_POSITIVE..CONGESTED / 2.0).contains(&self.servers[&p].strain);
+        let thin = open.lot >= ASKERS / f64::from(self.set.routers);
+        let spares = |p: ServerId| (thin || at_ease(p)) && self.usable(p, open, READ_SHARE);
+        let unasked = primary.is_some_and(spares) && self.admits(open, true);
         if let Some(at) = required.filter(|_| !unasked)
             && self.ask_where(open, at, &replicas, out)
         {
@@ -744,8 +748,7 @@
         // What can no longer be answered in time is given up at once.
         let end = if open.unsent { open.useful.min(open.half + needed) } else { open.useful };
         if self.now + needed >= end || open.attempts >= open.most || ran_out {
-            self.give_up(id, out);
-            return;
+            return self.give_up(id, out);
         }
         let at = (self.now + pause).min(end - needed);
         self.groups.entry(open.group).or_default().held.insert(open.key);
@@ -807,11 +810,8 @@
         self.unhold(id);
         let Some(open) = self.open.remove(&id) else { return };
         self.wakes.remove(&(open.wake, id));
-        if self.set.may_cancel {
-            for n in open.out {
-                out.push(Action::Cancel { request: id, attempt: AttemptNo(n) });
-            }
-        }
+        let called_off = open.out.into_iter().filter(|_| self.set.may_cancel);
+        out.extend(called_off.map(|n| Action::Cancel { request: id, attempt: AttemptNo(n) }));
     }
 
     fn wake(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -430,3 +430,38 @@
     let got = rig.end(lost, 0, server, Ending::Cancelled);
     assert_eq!(sends(&got).len(), 1, "{got:?}");
 }
+
+#[test]
+fn a_read_pays_no_probe_while_the_primary_is_seen_at_ease() {
+    let asks = |took: Micros| {
+        let mut rig = Rig::new(Settings { may_probe: true, ..settings() });
+        for _ in 0..20 {
+            let (id, _) = rig.ask(WRITE);
+            rig.pass(took);
+            rig.end(id, 0, P, Ending::Ok);
+        }
+        rig.ask(BOUNDED).1.iter().any(|a| matches!(a, Action::Probe { .. }))
+    };
+    // Of an aim of 500 ms.
+    assert_eq!([50 * MS, 150 * MS].map(asks), [false, true]);
+}
+
+#[test]
+fn a_read_pays_a_probe_again_once_one_that_fell_back_was_late() {
+    let mut rig = Rig::new(Settings { may_probe: true, ..settings() });
+    for _ in 0..20 {
+        let (id, _) = rig.ask(WRITE);
+        rig.pass(MS);
+        rig.end(id, 0, P, Ending::Ok);
+    }
+    let (id, got) = rig.ask(BOUNDED);
+    assert_eq!(sends(&got), [P]);
+    rig.pass(600 * MS);
+    rig.end(id, 0, P, Ending::Ok);
+    for _ in 0..10 {
+        let (id, _) = rig.ask(WRITE);
+        rig.pass(MS);
+        rig.end(id, 0, P, Ending::Ok);
+    }
+    assert!(rig.ask(BOUNDED).1.iter().any(|a| matches!(a, Action::Probe { .. })));
+}
