--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -182,7 +182,7 @@
 /// What the settings are likely not to mean, a line each.
 fn tell_doubts(config: &Config) {
     for doubt in config.doubts.iter().take(DOUBTS_TOLD) {
-        warn!(event = "settings-doubt", about = %Quoted(doubt.clone()));
+        warn!(event = "settings-doubt", about = %Quoted(doubt));
     }
 }
 
