Clients: time runs from arrival, keys of repeats are taken, an end behind unread input is seen

Ruled out: input that was not read on, closes by the proxy, ids taken for open. At fault: `Statement::ask`, which took `d` from the moment of decoding. A command whose time is over is refused unsent.

Now the system's word that the connection was closed ends it at once; and what came together with the end is not begun.

The exchanges leaver, pipelined_wait and keyed fail without these lines.

--- a/proxy/src/net/clients/client.rs
+++ b/proxy/src/net/clients/client.rs
@@ -21,6 +21,8 @@
     pub served: u64,
     /// It has made no request yet: it may be a balancer that only looks whether the process lives.
     pub guest: bool,
+    /// It has closed its connection: what it sent before is owed no answer.
+    pub ended: bool,
     /// There is more to read or write than one turn takes.
     pub unread: bool,
     /// To be closed, and how: at once, or after the client had its time to hear why.
--- a/proxy/src/net/clients/converse.rs
+++ b/proxy/src/net/clients/converse.rs
@@ -27,10 +27,15 @@
 }
 
 impl Desk {
-    pub fn ask(&mut self, cx: &Cx, s: &Statement) -> Result<Ask, (&'static str, &'static str)> {
+    pub fn ask(
+        &mut self,
+        cx: &Cx,
+        s: &Statement,
+        arrived: Micros,
+    ) -> Result<Ask, (&'static str, &'static str)> {
         let class = cx.core.class(cx.now, &s.class);
         let (id, class) = class.ok_or((sqlstate::INVALID_VALUE, "c names no class"))?;
-        let ask = s.ask(id, class, cx.core.tokens())?;
+        let ask = s.ask(id, class, cx.core.tokens(), cx.now - arrived)?;
         if !cx.core.serves(ask.group) {
             return Err((sqlstate::INVALID_VALUE, "cluster names no group"));
         }
@@ -82,25 +87,34 @@
     fn converse(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) -> Option<&'static str> {
         for _ in 0..ROUNDS {
             let hungry = c.closing.is_none() && c.machine.hungry();
+            if c.ended && !hungry {
+                // Its end stands behind input that is not read now, and would be heard too late.
+                return Some(c.closing.map_or("client-closed", |(reason, _)| reason));
+            }
             let mut read = 0;
-            let machine = &mut c.machine;
+            let (machine, now) = (&mut c.machine, cx.now);
             let drained = if !hungry {
                 Ok(true)
             } else {
                 stream::read(&mut c.stream, cx.scratch, |bytes| {
                     read += bytes.len();
-                    machine.feed(bytes);
+                    machine.feed(now, bytes);
                     machine.hungry() && read < READ_TURN
                 })
             };
-            Self::run(cx, desk, key, c);
             let drained = match drained {
                 Ok(drained) => drained,
+                // It has gone: nothing that it asked for begins now.
                 Err(how) => {
-                    let reason = if how == Ended::Closed { "client-closed" } else { "client-reset" };
+                    let reason = match how {
+                        Ended::Closed if c.machine.said_goodbye() => "terminate",
+                        Ended::Closed => "client-closed",
+                        Ended::Reset => "client-reset",
+                    };
                     return Some(c.closing.map_or(reason, |(reason, _)| reason));
                 }
             };
+            Self::run(cx, desk, key, c);
             let waiting = c.machine.out.pending().len();
             let written = stream::write(&mut c.stream, &mut c.machine.out);
             if read > 0 || c.machine.out.pending().len() < waiting {
@@ -156,11 +170,11 @@
     /// Hands the machine's wishes on, until one has to be waited for.
     fn run(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) {
         while c.request.is_none() && c.closing.is_none() {
-            match c.machine.next() {
+            match c.machine.next(cx.now) {
                 None => return,
                 Some(Wish::Close(reason)) => c.closing = Some((reason, Parting::AtOnce)),
                 Some(Wish::Part(reason)) => c.closing = Some((reason, Parting::Told)),
-                Some(Wish::Run(statement)) => match desk.ask(cx, &statement) {
+                Some(Wish::Run(statement, arrived)) => match desk.ask(cx, &statement, arrived) {
                     Err((code, message)) => c.machine.reject(code, message),
                     Ok(ask) => {
                         let work = Work::new(statement);
--- a/proxy/src/net/clients/mod.rs
+++ b/proxy/src/net/clients/mod.rs
@@ -120,6 +120,13 @@
         }
     }
 
+    /// The system tells that a client has closed its connection, whatever input may wait before that end.
+    pub fn ended(&mut self, key: usize) {
+        if let Some(c) = self.slots.get_mut(key) {
+            c.ended = true;
+        }
+    }
+
     /// A long value that has gone on as far as its client has taken it.
     pub fn thirsty(&mut self) -> Option<Attempt> {
         self.thirsty.pop()
--- a/proxy/src/net/clients/places.rs
+++ b/proxy/src/net/clients/places.rs
@@ -130,6 +130,7 @@
             passing: None,
             served: 0,
             guest: true,
+            ended: false,
             unread: false,
             closing: None,
             active: cx.now,
--- a/proxy/src/net/turn.rs
+++ b/proxy/src/net/turn.rs
@@ -62,7 +62,15 @@
                     gossip.step(cx);
                 }),
                 Source::Gossip(key) => self.with_gossip(|gossip, cx| gossip.ready_link(cx, key)),
-                Source::Client(key) => self.with(|clients, _, _, cx| clients.ready(cx, key)),
+                Source::Client(key) => {
+                    let ended = event.is_read_closed() || event.is_error();
+                    self.with(|clients, _, _, cx| {
+                        if ended {
+                            clients.ended(key);
+                        }
+                        clients.ready(cx, key);
+                    });
+                }
                 Source::Database(key) => self.with(|_, pool, _, cx| pool.ready(cx, key)),
                 _ => {}
             }
--- a/proxy/src/pg/codec.rs
+++ b/proxy/src/pg/codec.rs
@@ -49,6 +49,10 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    pub fn rest(&self) -> &[u8] {
+        &self.buf[self.at..]
+    }
+
     /// Bytes that wait to be decoded.
     pub fn len(&self) -> usize {
         self.buf.len() - self.at
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -1,11 +1,13 @@
 //! A client's connection: fed what the client sends, it hands out statements one at a time and
 //! holds what is to be written.
 
+use super::arrivals::Arrivals;
 use super::codec::{FromClient, Inbox, Malformed, Startup};
 use super::sqlstate;
 use super::statement::Statement;
 use crate::core::Answer;
 use crate::outbox::Outbox;
+use birchreach::Micros;
 
 /// Unread input and unwritten output at most, beyond one message: a slow or hasty client waits.
 const AHEAD: usize = 16 << 10;
@@ -23,13 +25,17 @@
     Over,
 }
 
+/// The message with which a client takes its leave.
+const TERMINATE: &[u8] = b"X\0\0\0\x04";
+
 /// Commands taken in one turn: a client that sends hundreds at once takes turns with the others.
 const TURN: u32 = 32;
 
 /// What the client wants of the program.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Wish {
-    Run(Statement),
+    /// Run a statement, whose last byte came at this time.
+    Run(Statement, Micros),
     /// Close, for this reason.
     Close(&'static str),
     /// Close once the client has been told why.
@@ -39,6 +45,7 @@
 pub struct Frontend {
     phase: Phase,
     inbox: Inbox,
+    arrivals: Arrivals,
     pub out: Outbox,
     /// Commands that this turn may still take, and those taken since the beginning.
     turn: u32,
@@ -52,6 +59,7 @@
         Frontend {
             phase: Phase::Startup,
             inbox: Inbox::default(),
+            arrivals: Arrivals::default(),
             out: Outbox::default(),
             turn: TURN,
             taken: 0,
@@ -61,7 +69,8 @@
 }
 
 impl Frontend {
-    pub fn feed(&mut self, bytes: &[u8]) {
+    pub fn feed(&mut self, now: Micros, bytes: &[u8]) {
+        self.arrivals.came(bytes.len(), now);
         self.inbox.feed(bytes);
     }
 
@@ -81,6 +90,11 @@
         self.turn == 0 && matches!(self.phase, Phase::Ready | Phase::UntilSync) && self.inbox.len() > 0
     }
 
+    /// All that is left of its input is the message with which a client takes its leave.
+    pub fn said_goodbye(&self) -> bool {
+        self.inbox.rest() == TERMINATE
+    }
+
     /// A whole command has come, at any time.
     pub fn asked(&self) -> bool {
         self.taken > 0
@@ -113,11 +127,11 @@
     }
 
     /// The next wish, as far as the input goes; none while an answer is owed.
-    pub fn next(&mut self) -> Option<Wish> {
+    pub fn next(&mut self, now: Micros) -> Option<Wish> {
         while !self.clogged() && self.turn > 0 {
             let step = match self.phase {
-                Phase::Startup => self.startup(),
-                Phase::Ready | Phase::UntilSync => self.command(),
+                Phase::Startup => self.startup(now),
+                Phase::Ready | Phase::UntilSync => self.command(now),
                 Phase::Busy { .. } | Phase::Over => return None,
             };
             match step {
@@ -146,8 +160,17 @@
         self.phase = Phase::Over;
     }
 
-    fn startup(&mut self) -> Result<Step, Malformed> {
-        match self.inbox.startup()? {
+    /// What has been taken of the input since so much of it waited: when the last byte of that came.
+    fn arrived(&mut self, waited: usize, now: Micros) -> Micros {
+        let taken = waited.saturating_sub(self.inbox.len());
+        self.arrivals.take(taken).unwrap_or(now)
+    }
+
+    fn startup(&mut self, now: Micros) -> Result<Step, Malformed> {
+        let waited = self.inbox.len();
+        let message = self.inbox.startup()?;
+        self.arrived(waited, now);
+        match message {
             None => return Ok(Step::Wait),
             Some(Startup::Encryption) => self.out.raw(b"N"),
             Some(Startup::Cancel) => {
@@ -182,8 +205,11 @@
         Ok(Step::On)
     }
 
-    fn command(&mut self) -> Result<Step, Malformed> {
-        let Some(message) = self.inbox.client_message()? else {
+    fn command(&mut self, now: Micros) -> Result<Step, Malformed> {
+        let waited = self.inbox.len();
+        let message = self.inbox.client_message()?;
+        let arrived = self.arrived(waited, now);
+        let Some(message) = message else {
             let goes_on = self.inbox.begun().is_none_or(Statement::may_go_on);
             return if goes_on { Ok(Step::Wait) } else { Err(Malformed::TooLong) };
         };
@@ -212,7 +238,7 @@
             FromClient::Query(text) => match Statement::parse(text) {
                 Some(statement) => {
                     self.phase = Phase::Busy { write: statement.write };
-                    return Ok(Step::Wish(Wish::Run(statement)));
+                    return Ok(Step::Wish(Wish::Run(statement, arrived)));
                 }
                 None => self.reject(sqlstate::SYNTAX_ERROR, "not a statement of the form that is taken here"),
             },
--- a/proxy/src/pg/mod.rs
+++ b/proxy/src/pg/mod.rs
@@ -2,6 +2,7 @@
 //! They are fed bytes and know no socket.
 
 mod answer;
+pub mod arrivals;
 pub mod backend;
 pub mod codec;
 pub mod copies;
@@ -9,6 +10,8 @@
 pub mod looks;
 pub mod report;
 pub mod statement;
+#[cfg(test)]
+mod tests;
 
 /// The SQLSTATE codes that the proxy speaks or understands.
 pub mod sqlstate {
--- a/proxy/src/pg/statement.rs
+++ b/proxy/src/pg/statement.rs
@@ -62,8 +62,8 @@
             p.all(b"'")?;
         }
         p.all(b" /* ")?;
-        let (mut id, mut class, mut d, mut group, mut after, mut retry) =
-            (None, None, None, None, None, None);
+        let (mut id, mut class, mut d, mut group, mut after, mut retry, mut repeat_key) =
+            (None, None, None, None, None, None, None);
         loop {
             let name = p.run(|b| b.is_ascii_lowercase(), MAX_FIELD)?;
             p.all(b"=")?;
@@ -75,6 +75,7 @@
                 b"cluster" => &mut group,
                 b"after" => &mut after,
                 b"r" => &mut retry,
+                b"k" => &mut repeat_key,
                 _ => return None,
             };
             if slot.replace(value).is_some() {
@@ -128,12 +129,14 @@
 const MARGIN: Micros = 10_000;
 
 impl Statement {
-    /// What it asks for by its class's rules, or the error that it gets.
+    /// What it asks for by its class's rules, or the error that it gets. It has waited so long behind others: the client's
+    /// time for it runs since it came.
     pub fn ask(
         &self,
         id: ClassId,
         class: &Class,
         tokens: Tokens,
+        waited: Micros,
     ) -> Result<Ask, (&'static str, &'static str)> {
         if self.write != (class.need == Need::Write) {
             return Err((sqlstate::INVALID_VALUE, "the class does not go with this form of statement"));
@@ -147,7 +150,7 @@
             group: GroupId(self.group),
             session: sessions.then(|| session(self.key())),
             after: self.after_ms.filter(|_| carried).map(|ms| ms * 1000),
-            patience: wait - MARGIN.min(wait / 10),
+            patience: (wait - MARGIN.min(wait / 10) - waited.max(0)).max(0),
         })
     }
 }
--- /dev/null
+++ b/proxy/src/pg/tests/mod.rs
@@ -0,0 +1,3 @@
+//! What the machines of the protocol do, on times made by hand.
+
+mod waits;
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -209,6 +209,7 @@
                 let waited = self.sent.elapsed();
                 assert!(deed == "<" || waited >= Duration::from_millis(1), "it came after {waited:?}");
             }
+            (_, "asks") => assert!(self.party(party).peek(&mut [0]).is_ok_and(|n| n > 0), "nothing comes"),
             (_, "close") => drop(self.open.remove(party)),
             (_, "closed") => assert_eq!(self.party(party).read(&mut [0; 64]).ok(), Some(0)),
             (_, "ends") => {
@@ -314,6 +315,7 @@
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report future_report answers_report spoilt_usage rude unfinished
     operator upgrade stream retune
+    leaver pipelined_wait keyed
 }
 
 /// Starts the program on a configuration, which it is to refuse.
