Discovery: the chain from a failed call to the list held is bounded, and a reset ends no answer

Read from the code: after a 503 a proxy among 300 waited up to 9 s, and up to eight times that after more of them (`Pace::failed`); after any failed call the next one asked to be held for 20 s and was given 21.5 s; a connect that never came up had that time too; an answer without a length was taken as whole when its connection was reset; an answer that stalled had the time of the whole call.

Now a call goes through stages, each with its own limit: connect 1.5 s, an answer that has begun 2.5 s, a call that does not wait for news 2.5 s. The call after a failed one does not wait for news (`hold_ms=0`), so its silence shows soon; after SIGHUP has moved discovery too. After a 503 the wait is 3 s at most for any number of proxies; other waits stay within a third of the drain grace.

The exchanges agent_stalls and agent_reset fail without these lines; agent and reload say `hold_ms=0` where a call follows a failed one or a move.

--- a/proxy/src/config/parse.rs
+++ b/proxy/src/config/parse.rs
@@ -4,6 +4,7 @@
 use crate::discovery::Update;
 use birchreach_options::Options;
 use birchreach_settings::Site;
+use serde::Deserialize;
 use serde_json::Value;
 
 /// Descriptors assumed where no limit is told.
@@ -36,7 +37,7 @@
     };
     let known = match root.get("known") {
         None | Some(Value::Null) => Ok(None),
-        Some(v) => Update::from_json(v).map(Some).map_err(|e| format!("known: {e}")),
+        Some(v) => Update::deserialize(v).map(Some).map_err(|e| format!("known: {e}")),
     };
     let site = match root.get("settings") {
         None => Err(vec!["settings: absent".to_string()]),
--- a/proxy/src/core/servers.rs
+++ b/proxy/src/core/servers.rs
@@ -18,7 +18,7 @@
     group: GroupId,
     primary: Option<bool>,
     up: bool,
-    boot_ms: u64,
+    started_ms: Option<i64>,
     removed: bool,
 }
 
@@ -32,7 +32,7 @@
                 group: self.group,
                 primary: self.primary,
                 up: self.up,
-                boot_ms: self.boot_ms,
+                boot_ms: self.started_ms.and_then(|ms| u64::try_from(ms).ok()).unwrap_or(0),
             },
         }
     }
@@ -83,23 +83,22 @@
         let group = GroupId(t.group);
         let removed = t.state == State::Removed;
         let fresh = || Listed {
-            uid: t.uid,
+            uid: t.uid.clone(),
             address: None,
             group,
             primary: None,
             up: false,
-            boot_ms: 0,
+            started_ms: None,
             removed: false,
         };
         let listed = self.listed.entry(server).or_insert_with(fresh);
-        (listed.group, listed.primary, listed.up) = (group, t.primary, t.state == State::Up);
-        (listed.boot_ms, listed.removed) = (t.boot_ms, removed);
+        (listed.group, listed.primary, listed.up) = (group, t.primary(), t.state == State::Up);
+        (listed.started_ms, listed.removed) = (t.started_ms(), removed);
         let moved = listed.address != address || removed;
         if moved {
             listed.address = address.or(listed.address);
         }
         let zone = self.zones.iter().position(|z| *z == t.zone);
-        let started = i64::try_from(t.boot_ms).ok().filter(|ms| *ms > 0);
         let member = Member {
             server,
             group,
@@ -109,9 +108,9 @@
                 State::Draining => MemberState::Draining,
                 State::Removed => MemberState::Gone,
             },
-            started: started.and_then(|ms| ms.checked_mul(1000)),
+            started: t.started_ms().and_then(|ms| ms.checked_mul(1000)),
             weight: t.weight,
-            primary: t.primary == Some(true),
+            primary: t.primary() == Some(true),
         };
         (member, moved)
     }
@@ -194,7 +193,7 @@
             let old = target(format!("s-{}", i64::from(n) - 1), "removed");
             let new = target(format!("s-{n}"), "up");
             let list = format!(r#"{{"rev": {n}, "all": false, "targets": [{old}, {new}]}}"#);
-            let update = Update::from_json(&serde_json::from_str(&list).unwrap()).unwrap();
+            let update = serde_json::from_str(&list).unwrap();
             core.members(Micros::from(n) * 1_000_000, update);
             assert_eq!(core.servers.roster[&format!("s-{n}")], ServerId(n + 1), "s--1 was the first");
         }
--- a/proxy/src/net/agent.rs
+++ b/proxy/src/net/agent.rs
@@ -3,11 +3,11 @@
 use super::Due;
 use super::cx::Cx;
 use super::sources::Source;
-use super::stream;
-use crate::discovery::{Broken, Pace, Update, Watch};
+use super::stream::{self, Ended};
+use crate::discovery::{ANSWER, Answer, Backoff, CONNECT, CallError, Update, Watch};
 use crate::log::Quoted;
 use crate::outbox::Outbox;
-use birchreach::Micros;
+use birchreach::{Micros, Settings};
 use mio::Interest;
 use mio::net::TcpStream;
 use std::net::SocketAddr;
@@ -16,27 +16,61 @@
 /// An agent that answers sooner than this with no news is not to be asked in a tight loop.
 const TOO_SOON: Micros = 20_000;
 
+/// How far a call has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// None is out: the next one waits for its time.
+    Waiting,
+    Connecting,
+    Called,
+    /// Part of the answer has come.
+    Answering,
+}
+
+/// What one look at the connection brought.
+struct Heard {
+    answer: Result<Option<Answer>, CallError>,
+    ended: Option<Ended>,
+}
+
 pub struct Agent {
     address: SocketAddr,
     watch: Watch,
     stream: Option<TcpStream>,
     out: Outbox,
     called_at: Micros,
-    /// Numbers the calls; a time-out of an earlier one means nothing.
+    /// The call that is out may wait for news.
+    held: bool,
+    stage: Stage,
+    /// Numbers the stages: the time-out of an earlier one means nothing.
     turn: u64,
-    pace: Pace,
+    backoff: Backoff,
 }
 
 impl Agent {
-    pub fn new(address: SocketAddr, rev: Option<u64>, pace: Pace) -> Agent {
-        let watch = Watch::new(address.to_string(), rev);
-        Agent { address, watch, stream: None, out: Outbox::default(), called_at: 0, turn: 0, pace }
+    pub fn new(address: SocketAddr, rev: Option<u64>, settings: &Settings, seed: u64) -> Agent {
+        Agent {
+            address,
+            watch: Watch::new(address.to_string(), rev),
+            stream: None,
+            out: Outbox::default(),
+            called_at: 0,
+            held: false,
+            stage: Stage::Waiting,
+            turn: 0,
+            backoff: Backoff::new(settings, seed),
+        }
     }
 
-    /// The first call; where proxies are many, not with all the others that start now.
+    /// The first call; where proxies are many and share discovery, not with all the others that start now.
     pub fn start(&mut self, cx: &mut Cx) {
-        self.turn += 1;
-        cx.timers.set(cx.now + self.pace.first(), Due::AgentCall(self.turn));
+        let wait = self.backoff.first();
+        self.call_after(cx, wait);
+    }
+
+    /// Other settings are in force from now on.
+    pub fn settings(&mut self, settings: &Settings) {
+        self.backoff.settings(settings);
     }
 
     /// Discovery is to be found elsewhere: it is called there at once, for what is newer than what was
@@ -47,45 +81,55 @@
         }
         self.address = address;
         self.watch.moved(address.to_string());
-        self.pace.answered();
+        self.backoff.answered();
         self.hang_up(cx, "moved");
         self.call(cx);
     }
 
-    /// Makes the next call, on a new connection where there is none.
-    pub fn call(&mut self, cx: &mut Cx) {
+    /// A stage begins, which may last so long.
+    fn enter(&mut self, cx: &mut Cx, stage: Stage, limit: Micros) {
+        self.stage = stage;
         self.turn += 1;
-        self.called_at = cx.now;
+        cx.timers.set(cx.now + limit, Due::Discovery(self.turn));
+    }
+
+    fn call_after(&mut self, cx: &mut Cx, wait: Micros) {
+        self.enter(cx, Stage::Waiting, wait);
+    }
+
+    /// Makes the next call, on a new connection where there is none.
+    fn call(&mut self, cx: &mut Cx) {
+        (self.called_at, self.held) = (cx.now, self.watch.holds());
         if self.stream.is_none() {
             self.out = Outbox::default();
             let opened = TcpStream::connect(self.address).and_then(|mut stream| {
-                cx.registry.register(
-                    &mut stream,
-                    Source::Discovery.token(),
-                    Interest::READABLE | Interest::WRITABLE,
-                )?;
+                let _ = stream.set_nodelay(true);
+                let interest = Interest::READABLE | Interest::WRITABLE;
+                cx.registry.register(&mut stream, Source::Discovery.token(), interest)?;
                 Ok(stream)
             });
             match opened {
                 Ok(stream) => self.stream = Some(stream),
-                Err(e) => return self.failed(cx, &e.to_string()),
+                Err(_) => return self.failed(cx, &CallError::Connect),
             }
+            self.out.raw(&self.watch.call());
+            self.enter(cx, Stage::Connecting, CONNECT);
+        } else {
+            self.out.raw(&self.watch.call());
+            self.enter(cx, Stage::Called, self.watch.patience());
         }
-        self.out.raw(&self.watch.call());
-        cx.timers.set(cx.now + self.watch.patience(), Due::AgentSilent(self.turn));
         self.write(cx);
     }
 
-    /// A wait set earlier is over; a call that has been made since is not disturbed.
-    pub fn call_again(&mut self, cx: &mut Cx, turn: u64) {
-        if self.turn == turn {
-            self.call(cx);
+    /// The time of a stage is over; one that has gone on since is not disturbed.
+    pub fn due(&mut self, cx: &mut Cx, turn: u64) {
+        if self.turn != turn {
+            return;
         }
-    }
-
-    pub fn silent(&mut self, cx: &mut Cx, turn: u64) {
-        if self.turn == turn {
-            self.failed(cx, "silent");
+        match self.stage {
+            Stage::Waiting => self.call(cx),
+            Stage::Connecting => self.failed(cx, &CallError::ConnectTimeout),
+            Stage::Called | Stage::Answering => self.failed(cx, &CallError::Silent),
         }
     }
 
@@ -96,25 +140,31 @@
         info!(conn = "discovery", reason = %Quoted(reason));
     }
 
-    fn failed(&mut self, cx: &mut Cx, reason: &str) {
-        self.hang_up(cx, reason);
-        self.turn += 1;
-        cx.timers.set(cx.now + self.pace.failed(reason), Due::AgentCall(self.turn));
+    fn failed(&mut self, cx: &mut Cx, error: &CallError) {
+        self.hang_up(cx, &error.to_string());
+        self.watch.failed();
+        let wait = self.backoff.failed(error);
+        self.call_after(cx, wait);
     }
 
+    /// True: the connection is up, and what waits has been written as far as it goes.
     fn write(&mut self, cx: &mut Cx) -> bool {
         let Some(stream) = &mut self.stream else { return false };
         if stream.peer_addr().is_err() {
-            let refused = !matches!(stream.take_error(), Ok(None));
-            if refused {
-                self.failed(cx, "refused");
+            match stream.take_error() {
+                Ok(None) => {}
+                _ if self.stage == Stage::Connecting => self.failed(cx, &CallError::Connect),
+                _ => self.failed(cx, &CallError::Reset),
             }
             return false;
         }
         if stream::write(stream, &mut self.out).is_err() {
-            self.failed(cx, "reset");
+            self.failed(cx, &CallError::Reset);
             return false;
         }
+        if self.stage == Stage::Connecting {
+            self.enter(cx, Stage::Called, self.watch.patience());
+        }
         true
     }
 
@@ -123,39 +173,61 @@
         if !self.write(cx) {
             return None;
         }
+        let Heard { answer, ended } = self.read(cx)?;
+        match (answer, ended) {
+            (Err(error), _) => self.failed(cx, &error),
+            (Ok(Some(answer)), ended) => return self.answered(cx, answer, ended.is_some()),
+            (Ok(None), Some(Ended::Closed)) => self.failed(cx, &CallError::Closed),
+            (Ok(None), Some(Ended::Reset)) => self.failed(cx, &CallError::Reset),
+            (Ok(None), None) if self.watch.answering() && self.stage == Stage::Called => {
+                self.enter(cx, Stage::Answering, ANSWER);
+            }
+            (Ok(None), None) => {}
+        }
+        None
+    }
+
+    /// What has come, and whether the connection ended behind it.
+    fn read(&mut self, cx: &mut Cx) -> Option<Heard> {
         let stream = self.stream.as_mut()?;
         let watch = &mut self.watch;
-        let mut heard = Ok(None);
+        let mut answer = Ok(None);
         let ended = stream::read(stream, cx.scratch, |bytes| {
             // On to the end of the input: an end of the connection behind the answer is not told twice.
-            if heard == Ok(None) {
-                heard = watch.feed(bytes);
+            if answer == Ok(None) {
+                answer = watch.feed(bytes);
             }
             true
         });
-        if ended.is_err() && heard == Ok(None) {
-            heard = self.watch.ended();
+        // A reset is no end of an answer without a length.
+        if ended == Err(Ended::Closed) && answer == Ok(None) {
+            answer = watch.closed();
         }
-        match heard {
-            Err(Broken(reason)) => self.failed(cx, &reason),
-            Ok(None) if ended.is_err() => self.failed(cx, "closed"),
-            Ok(None) => {}
-            Ok(Some(news)) => {
-                self.pace.answered();
-                cx.core.discovery(cx.now);
-                if ended.is_err() {
-                    self.failed(cx, "closed");
-                } else if cx.now - self.called_at < TOO_SOON
-                    && news.as_ref().is_none_or(|u| u.targets.is_empty())
-                {
-                    self.turn += 1;
-                    cx.timers.set(cx.now + TOO_SOON, Due::AgentCall(self.turn));
-                } else {
-                    self.call(cx);
-                }
-                return news;
-            }
+        Some(Heard { answer, ended: ended.err() })
+    }
+
+    /// An answer came, and behind it perhaps the end of the connection. The next call follows.
+    fn answered(&mut self, cx: &mut Cx, answer: Answer, ended: bool) -> Option<Update> {
+        cx.core.discovery(cx.now);
+        let news = match answer {
+            Answer::News(update) => Some(update),
+            Answer::Old => None,
+        };
+        let empty = news.as_ref().is_none_or(|update| update.targets.is_empty());
+        // An agent that ends each watch and answers what does not wait is still to be left in peace.
+        if self.held || !empty {
+            self.backoff.answered();
         }
-        None
+        if ended {
+            // Nothing was missed: the next call is a watch again.
+            self.hang_up(cx, &CallError::Closed.to_string());
+            let wait = self.backoff.failed(&CallError::Closed);
+            self.call_after(cx, wait);
+        } else if cx.now - self.called_at < TOO_SOON && empty {
+            self.call_after(cx, TOO_SOON);
+        } else {
+            self.call(cx);
+        }
+        news
     }
 }
--- a/proxy/src/net/due.rs
+++ b/proxy/src/net/due.rs
@@ -15,8 +15,8 @@
     Probe(usize, u64),
     Rested(usize, u64),
     Accept,
-    AgentCall(u64),
-    AgentSilent(u64),
+    /// A call to discovery is due, or a stage of one has had its time.
+    Discovery(u64),
     Sweep,
     /// A balancer has had its time to ask for something.
     Asked(usize, u64),
@@ -53,8 +53,7 @@
             Due::Probe(key, turn) => pool.probe_overdue(cx, key, turn),
             Due::Rested(key, serial) => pool.rested(cx, key, serial),
             Due::Accept => clients.accept_again(),
-            Due::AgentCall(turn) => agent.call_again(cx, turn),
-            Due::AgentSilent(turn) => agent.silent(cx, turn),
+            Due::Discovery(turn) => agent.due(cx, turn),
             Due::Sweep => {
                 clients.sweep(cx);
                 pool.sweep(cx);
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::config::Config;
 use crate::core::Core;
-use crate::discovery::{Pace, Update};
+use crate::discovery::Update;
 use crate::lore::Lore;
 use crate::observe::shared;
 use agent::Agent;
@@ -125,7 +125,8 @@
         agent: Agent::new(
             config.discovery,
             known.as_ref().map(|known| known.rev),
-            Pace::new(config.site.module.routers, config.site.module.drain_grace, config.seed),
+            &config.site.module,
+            config.seed,
         ),
         door,
         checks: Checks::new(shared),
--- a/proxy/src/net/reload.rs
+++ b/proxy/src/net/reload.rs
@@ -55,6 +55,7 @@
             pool.limit(cx, for_databases);
             clients.host(guests(&new));
             clients.limit(cx, for_clients);
+            agent.settings(&new.site.module);
             agent.moved(cx, new.discovery);
         });
         let Config { name, listen, operator, inherited, .. } = &self.config;
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -315,7 +315,7 @@
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report future_report answers_report spoilt_usage rude unfinished
     operator upgrade stream retune
-    leaver pipelined_wait keyed
+    agent_reset agent_stalls leaver pipelined_wait keyed
 }
 
 /// Starts the program on a configuration, which it is to refuse.
