Endings: nothing is read after the last call, nothing goes to where a server was, discovery finds a descriptor

Found by the review of everything that ends something, each read from the code and then forced by an exchange that fails without its lines:

- After SIGTERM a client that sent one command behind another was served on until SIGKILL, which found the last one taken (stopping_pipelined).
At fault: `Clients::leave` went on reading clients with a request out.
Now what has come by then is answered, nothing more is read (`Frontend::last_call`), and the connection ends behind the last answer.
- A server that moved to another address while a connection to the old one was opened got its request there (moved_opening).
At fault: `Heard::Ready` did not compare addresses, as connections at rest do.
- Where the system gives fewer descriptors than the limit told, the connection to discovery waited for one until a client had been idle for 5 s.
Now an idle client makes room, as for databases.
No test forces that yet.

Exchanges for guards that were there: left_while_opening, left_while_held, half_line (each seen to fail with its guard taken out), moved_drain, keyed_window, cancel_key, indented.

--- a/proxy/src/discovery/error.rs
+++ b/proxy/src/discovery/error.rs
@@ -5,7 +5,9 @@
 /// The reason for which a call failed. The connection it was made on is not used again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallError {
-    /// No connection could be opened, or it was refused.
+    /// The system had no socket for a connection.
+    NoSocket,
+    /// The connection was refused.
     Connect,
     /// The connection did not come up in time.
     ConnectTimeout,
@@ -32,6 +34,7 @@
 impl Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            CallError::NoSocket => f.write_str("no-socket"),
             CallError::Connect => f.write_str("refused"),
             CallError::ConnectTimeout => f.write_str("connect-timeout"),
             CallError::Silent => f.write_str("silent"),
--- a/proxy/src/discovery/tests/told.rs
+++ b/proxy/src/discovery/tests/told.rs
@@ -15,6 +15,7 @@
 fn after_any_failure_the_list_is_held_within_the_time_for_any_number_of_proxies() {
     let errors = [
         CallError::NoRoom,
+        CallError::NoSocket,
         CallError::Connect,
         CallError::ConnectTimeout,
         CallError::Silent,
--- a/proxy/src/net/agent.rs
+++ b/proxy/src/net/agent.rs
@@ -42,6 +42,8 @@
     /// The call that is out may wait for news.
     held: bool,
     stage: Stage,
+    /// The system had no descriptor for a connection.
+    starved: bool,
     /// Numbers the stages: the time-out of an earlier one means nothing.
     turn: u64,
     backoff: Backoff,
@@ -57,6 +59,7 @@
             called_at: 0,
             held: false,
             stage: Stage::Waiting,
+            starved: false,
             turn: 0,
             backoff: Backoff::new(settings, seed),
         }
@@ -110,7 +113,10 @@
             });
             match opened {
                 Ok(stream) => self.stream = Some(stream),
-                Err(_) => return self.failed(cx, &CallError::Connect),
+                Err(_) => {
+                    self.starved = true;
+                    return self.failed(cx, &CallError::NoSocket);
+                }
             }
             self.out.raw(&self.watch.call());
             self.enter(cx, Stage::Connecting, CONNECT);
@@ -133,6 +139,11 @@
         }
     }
 
+    /// Somebody else must make room. Told once.
+    pub fn starved(&mut self) -> bool {
+        std::mem::take(&mut self.starved)
+    }
+
     fn hang_up(&mut self, cx: &mut Cx, reason: &str) {
         if let Some(mut stream) = self.stream.take() {
             let _ = cx.registry.deregister(&mut stream);
--- a/proxy/src/net/clients/converse.rs
+++ b/proxy/src/net/clients/converse.rs
@@ -60,9 +60,10 @@
         }
         match over {
             Some(reason) => self.close(cx, key, reason),
-            None if (self.leaving || c.last) && c.request.is_none() && c.machine.idle() => {
-                self.close(cx, key, if self.leaving { "stopping" } else { "handed-over" })
+            None if self.leaving && c.request.is_none() && c.machine.finished() => {
+                self.close(cx, key, "stopping");
             }
+            None if c.last && c.request.is_none() && c.machine.idle() => self.close(cx, key, "handed-over"),
             None if c.unread => self.unread.push(key),
             None => {}
         }
--- a/proxy/src/net/clients/times.rs
+++ b/proxy/src/net/clients/times.rs
@@ -63,7 +63,8 @@
         self.handing = true;
     }
 
-    /// Accepts what has arrived, then takes no more, and closes each connection once it is idle.
+    /// Accepts and reads what has arrived, then takes no more, and closes each connection once that is answered: a client that
+    /// sends one command behind the other would else have one in hand when the process is killed.
     pub fn leave(&mut self, cx: &mut Cx) {
         self.waiting = true;
         self.retry_set = false;
@@ -76,8 +77,12 @@
         self.leaving = true;
         for key in self.slots.iter().map(|(k, _)| k).collect::<Vec<_>>() {
             self.ready(cx, key);
-            if self.slots.get(key).is_some_and(|c| c.machine.starting()) {
+            let Some(c) = self.slots.get_mut(key) else { continue };
+            c.machine.last_call();
+            if c.machine.starting() {
                 self.close(cx, key, "stopping");
+            } else {
+                self.go(cx, key);
             }
         }
     }
--- a/proxy/src/net/pool/answers.rs
+++ b/proxy/src/net/pool/answers.rs
@@ -69,8 +69,14 @@
             }
             Heard::Ready => {
                 self.slots[key].up = true;
-                cx.core.alive(cx.now, self.slots[key].server);
+                let (server, address) = (self.slots[key].server, self.slots[key].address);
+                cx.core.alive(cx.now, server);
                 match self.slots[key].job.take() {
+                    Some(job) if cx.core.address(server) != Some(address) => {
+                        // The server moved while its connection was opened: nothing more goes to where it was.
+                        self.close(cx, key, "moved");
+                        self.take_up(cx, server, job);
+                    }
                     Some(job) => self.ask(cx, key, job),
                     None => self.settle(cx, key),
                 }
--- a/proxy/src/net/turn.rs
+++ b/proxy/src/net/turn.rs
@@ -76,11 +76,14 @@
             }
             self.carry_out();
         }
-        self.with(|clients, pool, _, cx| {
+        self.with(|clients, pool, agent, cx| {
             clients.go_on(cx);
             if pool.starved() {
                 clients.make_room(cx);
             }
+            if agent.starved() {
+                clients.make_room(cx);
+            }
         });
         self.carry_out();
         self.now = self.clock.now();
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend.rs
@@ -46,6 +46,8 @@
     phase: Phase,
     inbox: Inbox,
     arrivals: Arrivals,
+    /// No more input is taken: what has been read is answered, and nothing behind it.
+    last_call: bool,
     pub out: Outbox,
     /// Commands that this turn may still take, and those taken since the beginning.
     turn: u32,
@@ -60,6 +62,7 @@
             phase: Phase::Startup,
             inbox: Inbox::default(),
             arrivals: Arrivals::default(),
+            last_call: false,
             out: Outbox::default(),
             turn: TURN,
             taken: 0,
@@ -77,7 +80,20 @@
     /// More input is of use now. Little is read ahead of what is being answered.
     pub fn hungry(&self) -> bool {
         let free = matches!(self.phase, Phase::Startup | Phase::Ready | Phase::UntilSync);
-        self.phase != Phase::Over && (self.inbox.len() < AHEAD || (free && self.waits && !self.clogged()))
+        self.phase != Phase::Over
+            && !self.last_call
+            && (self.inbox.len() < AHEAD || (free && self.waits && !self.clogged()))
+    }
+
+    /// No more input is read from now on.
+    pub fn last_call(&mut self) {
+        self.last_call = true;
+    }
+
+    /// All that was read before the last call is answered, but for a message that is not whole.
+    pub fn finished(&self) -> bool {
+        let free = matches!(self.phase, Phase::Startup | Phase::Ready | Phase::UntilSync);
+        self.last_call && free && self.out.pending().is_empty() && (self.waits || self.inbox.len() == 0)
     }
 
     /// A new turn of the loop begins.
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -182,6 +182,11 @@
                 };
                 assert_eq!(status.code().unwrap().to_string(), code);
             }
+            (listener, "none") => {
+                let listener = &self.listeners[listener];
+                listener.set_nonblocking(true).unwrap();
+                assert!(listener.accept().is_err(), "somebody has connected");
+            }
             (listener, "gone") => drop(self.listeners.remove(listener)),
             (_, ">") => {
                 let bytes: Vec<u8> = self.bytes(rest).into_iter().flatten().collect();
@@ -315,7 +320,8 @@
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report future_report answers_report spoilt_usage rude unfinished
     operator upgrade stream retune
-    agent_reset agent_stalls leaver pipelined_wait keyed
+    agent_reset agent_stalls leaver pipelined_wait keyed stopping_pipelined moved_opening left_while_opening
+    left_while_held left_halfway cancel_key indented half_line moved_drain keyed_window
 }
 
 /// Starts the program on a configuration, which it is to refuse.
