--- /dev/null
+++ b/proxy/src/log/json.rs
@@ -0,0 +1,60 @@
+//! Events as JSON objects, for collectors.
+
+use serde::ser::{SerializeMap, Serializer};
+use std::fmt::Debug;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tracing::Level;
+use tracing::field::{Field, Visit};
+
+/// The fields of an object that is being written.
+pub(super) type Json<'a> = JsonFields<<&'a mut serde_json::Serializer<Vec<u8>> as Serializer>::SerializeMap>;
+
+pub(super) struct JsonFields<M>(M);
+
+impl<M: SerializeMap> JsonFields<M> {
+    pub(super) fn entry<T: serde::Serialize + ?Sized>(&mut self, name: &str, value: &T) {
+        let _ = self.0.serialize_entry(name, value);
+    }
+}
+
+impl<M: SerializeMap> Visit for JsonFields<M> {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.entry(field.name(), value);
+    }
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        self.entry(field.name(), &value);
+    }
+    fn record_i64(&mut self, field: &Field, value: i64) {
+        self.entry(field.name(), &value);
+    }
+    fn record_bool(&mut self, field: &Field, value: bool) {
+        self.entry(field.name(), &value);
+    }
+    fn record_f64(&mut self, field: &Field, value: f64) {
+        self.entry(field.name(), &value);
+    }
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        let text = format!("{value:?}");
+        // What is quoted for people is a text like others here.
+        let bare =
+            text.strip_prefix('"').and_then(|t| t.strip_suffix('"')).map(|_| serde_json::from_str(&text));
+        match bare {
+            Some(Ok(serde_json::Value::String(bare))) => self.entry(field.name(), &bare),
+            _ => self.entry(field.name(), &text),
+        }
+    }
+}
+
+/// Appends an object with these fields, behind its time and level.
+pub(super) fn object(line: &mut String, level: Level, fields: impl FnOnce(&mut Json)) {
+    let mut out = serde_json::Serializer::new(Vec::with_capacity(256));
+    if let Ok(map) = out.serialize_map(None) {
+        let mut map = JsonFields(map);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        map.entry("time_ms", &(unix.as_millis() as u64));
+        map.entry("level", level.as_str());
+        fields(&mut map);
+        let _ = map.0.end();
+    }
+    line.push_str(&String::from_utf8_lossy(&out.into_inner()));
+}
--- a/proxy/src/log.rs
+++ b/proxy/src/log/mod.rs
@@ -3,12 +3,16 @@
 //! Fields are written in the order in which an event names them, `key=value` for people and `grep` or JSON for
 //! collectors. It owns the form and the bound; what is worth a line is decided where it happens.
 
+mod json;
+#[cfg(test)]
+mod tests;
+
 use clap::ValueEnum;
-use serde::ser::{SerializeMap, Serializer};
+use json::{Json, object};
 use std::fmt::{self, Debug, Display, Write as _};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Level, Subscriber};
 use tracing_subscriber::filter::Targets;
@@ -90,10 +94,10 @@
                         map.entry("event", "log-limited");
                         map.entry("dropped", &dropped);
                     };
-                    json(line, Level::WARN, fields);
+                    object(line, Level::WARN, fields);
                     line.push('\n');
                 }
-                json(line, *event.metadata().level(), |map| event.record(map));
+                object(line, *event.metadata().level(), |map| event.record(map));
             }
         }
         line.push('\n');
@@ -118,57 +122,6 @@
     }
 }
 
-type Json<'a> = JsonFields<<&'a mut serde_json::Serializer<Vec<u8>> as Serializer>::SerializeMap>;
-
-struct JsonFields<M>(M);
-
-impl<M: SerializeMap> JsonFields<M> {
-    fn entry<T: serde::Serialize + ?Sized>(&mut self, name: &str, value: &T) {
-        let _ = self.0.serialize_entry(name, value);
-    }
-}
-
-impl<M: SerializeMap> Visit for JsonFields<M> {
-    fn record_str(&mut self, field: &Field, value: &str) {
-        self.entry(field.name(), value);
-    }
-    fn record_u64(&mut self, field: &Field, value: u64) {
-        self.entry(field.name(), &value);
-    }
-    fn record_i64(&mut self, field: &Field, value: i64) {
-        self.entry(field.name(), &value);
-    }
-    fn record_bool(&mut self, field: &Field, value: bool) {
-        self.entry(field.name(), &value);
-    }
-    fn record_f64(&mut self, field: &Field, value: f64) {
-        self.entry(field.name(), &value);
-    }
-    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
-        let text = format!("{value:?}");
-        // What is quoted for people is a text like others here.
-        let bare =
-            text.strip_prefix('"').and_then(|t| t.strip_suffix('"')).map(|_| serde_json::from_str(&text));
-        match bare {
-            Some(Ok(serde_json::Value::String(bare))) => self.entry(field.name(), &bare),
-            _ => self.entry(field.name(), &text),
-        }
-    }
-}
-
-fn json(line: &mut String, level: Level, fields: impl FnOnce(&mut Json)) {
-    let mut out = serde_json::Serializer::new(Vec::with_capacity(256));
-    if let Ok(map) = out.serialize_map(None) {
-        let mut map = JsonFields(map);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        map.entry("time_ms", &(unix.as_millis() as u64));
-        map.entry("level", level.as_str());
-        fields(&mut map);
-        let _ = map.0.end();
-    }
-    line.push_str(&String::from_utf8_lossy(&out.into_inner()));
-}
-
 /// A text between quotes, so that what it says stays one value on one line.
 pub struct Quoted<T>(pub T);
 
@@ -203,73 +156,3 @@
 pub fn start(format: Format, filter: Targets) {
     let _ = tracing::subscriber::set_global_default(subscriber(format, filter, std::io::stderr()));
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::time::Duration;
-    use tracing::{debug, info, warn};
-
-    #[test]
-    fn a_flood_is_cut() {
-        let (mut limit, start) = (Limit::default(), Instant::now());
-        assert_eq!((0..1000).filter(|_| limit.pass(start)).count(), BURST as usize);
-        let later = start + Duration::from_millis(100);
-        assert_eq!((0..1000).filter(|_| limit.pass(later)).count(), 5);
-    }
-
-    #[derive(Clone, Default)]
-    struct Kept(Arc<Mutex<Vec<u8>>>);
-
-    impl std::io::Write for Kept {
-        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-            self.0.lock().unwrap().extend_from_slice(bytes);
-            Ok(bytes.len())
-        }
-        fn flush(&mut self) -> std::io::Result<()> {
-            Ok(())
-        }
-    }
-
-    fn written(format: Format, filter: &str, act: impl FnOnce()) -> Vec<String> {
-        let kept = Kept::default();
-        let subscriber = subscriber(format, filter.parse().unwrap(), kept.clone());
-        tracing::subscriber::with_default(subscriber, act);
-        let text = String::from_utf8(kept.0.lock().unwrap().clone()).unwrap();
-        text.lines().map(Into::into).collect()
-    }
-
-    fn some() {
-        let none: Option<u16> = None;
-        info!(event = "reloaded", discovery = %"127.0.0.1:1", port = none, "needs-restart" = "a,b");
-        warn!(conn = "discovery", rev = 3, all = true, reason = %Quoted("a \"b\"\nc"));
-        debug!(event = "seldom");
-    }
-
-    #[test]
-    fn lines_keep_names_and_order_in_both_forms() {
-        let plain = written(Format::Logfmt, "info", some);
-        let quoted = r#"conn=discovery rev=3 all=true reason="a \"b\"\u000ac""#;
-        assert_eq!(plain, ["event=reloaded discovery=127.0.0.1:1 needs-restart=a,b", quoted]);
-        let json = written(Format::Json, "info", some);
-        let told: serde_json::Value = serde_json::from_str(&json[1]).unwrap();
-        assert_eq!((&told["rev"], &told["reason"]), (&3.into(), &"a \"b\"\nc".into()));
-        assert_eq!((&told["level"], json.len()), (&"WARN".into(), 2));
-        assert_eq!(written(Format::Logfmt, "warn", some), [quoted]);
-    }
-
-    #[test]
-    fn what_was_left_out_is_told_in_one_line() {
-        let flood = || {
-            (0..1000).for_each(|n| info!(event = "flood", n));
-            std::thread::sleep(Duration::from_millis(100));
-            (0..500).for_each(|_| debug!(event = "filtered"));
-            info!(event = "after");
-        };
-        let lines = written(Format::Logfmt, "info", flood);
-        let told = lines.iter().position(|l| l.starts_with("event=log-limited dropped=")).unwrap();
-        let dropped: usize = lines[told].rsplit('=').next().unwrap().parse().unwrap();
-        // Lines come back as time passes: all are accounted for, wherever that was.
-        assert_eq!(dropped + lines.len() - 1, 1001);
-    }
-}
