--- a/benches/src/gain/background_queries.rs
+++ b/benches/src/gain/background_queries.rs
@@ -17,7 +17,7 @@
         let proxy = &mut self.proxies[n];
         proxy.hot.step(now);
         if let Some(said) = proxy.hot.say(now) {
-            proxy.rumours.say(now, 1, said);
+            proxy.gossip_reports.say(now, 1, said);
         }
         let refresh = proxy.hot.settings().refresh();
         for due in proxy.hot.due(now) {
@@ -39,13 +39,13 @@
         }
         let address = |n: usize| SocketAddr::from(([10, 0, (n / 200) as u8, (n % 200) as u8 + 1], 7));
         let others: Vec<SocketAddr> = (0..count).filter(|o| *o != n).map(address).collect();
-        let Some((to, bytes)) = self.proxies[n].rumours.due(now, &others) else { return };
+        let Some((to, bytes)) = self.proxies[n].gossip_reports.due(now, &others) else { return };
         let to = (0..count).find(|o| address(*o) == to).unwrap_or(0);
         if self.cut && (n < count / 2) != (to < count / 2) {
             return;
         }
         let other = &mut self.proxies[to];
-        for f in other.rumours.hear(now, count, |_| true, &bytes).unwrap_or_default() {
+        for f in other.gossip_reports.hear(now, count, |_| true, &bytes).unwrap_or_default() {
             let _ = other.hot.hear(now, f.origin, f.number, f.age, &f.payload);
         }
     }
--- a/benches/src/gain/mod.rs
+++ b/benches/src/gain/mod.rs
@@ -1,7 +1,7 @@
 //! What copies of a hot key gain, on virtual time with the program's own decisions: off, on, and an oracle that knows the key from the
 //! start and whose copies cost nothing; side by side from the same seeds. Draws a chart.
 
-mod errands;
+mod background_queries;
 mod proxies;
 mod requests;
 mod servers;
--- a/benches/src/gain/proxies.rs
+++ b/benches/src/gain/proxies.rs
@@ -7,7 +7,7 @@
     Router, ServerId, Settings, Tokens, ZoneId,
 };
 use birchreach_background::{Budget, Kind, Scheduler};
-use birchreach_fleet::Rumours;
+use birchreach_fleet::GossipReports;
 use birchreach_hot::{Database, Due, Hot, Key, Need as Needs};
 use std::collections::HashMap;
 
@@ -26,7 +26,7 @@
 pub struct Proxy {
     pub router: Router,
     pub hot: Hot,
-    pub rumours: Rumours,
+    pub gossip_reports: GossipReports,
     pub scheduler: Scheduler<What>,
     pub errands: HashMap<u64, (What, u8, i64)>,
     pub actions: Vec<Action>,
@@ -89,13 +89,13 @@
         let database = |id| Database { number: id, group: id / MEMBERS, name: u64::from(id) * 7 + 1 };
         let replicas = (0..GROUPS).map(|g| (g, MEMBERS as usize - 1)).collect();
         hot.list((0..GROUPS * MEMBERS).map(database).collect(), replicas);
-        hot.fleet(proxies, Rumours::interval(proxies));
+        hot.fleet(proxies, GossipReports::interval(proxies));
         let budget = |per_s| Budget { database_per_s: per_s, all_per_s: 60.0, window: 10_000_000 };
         // A fleet that has run for long: nothing is left of what an earlier boot may have spent.
         let budgets = [(Kind::Read, budget(30.0)), (Kind::Copy, budget(30.0))];
         let scheduler = Scheduler::new(&budgets, now - 20_000_000);
-        let rumours = Rumours::new(n as u64 + 1, seed ^ 0xabc);
-        Proxy { router, hot, rumours, scheduler, errands: HashMap::new(), actions }
+        let gossip_reports = GossipReports::new(n as u64 + 1, seed ^ 0xabc);
+        Proxy { router, hot, gossip_reports, scheduler, errands: HashMap::new(), actions }
     }
 
     /// Guests for a read of the key, as the mode has them.
--- a/fleet/src/gossip_reports.rs
+++ b/fleet/src/gossip_reports.rs
@@ -3,7 +3,7 @@
 //!
 //! Push gossip: whoever has a new report tells it to [`TELLINGS`] members drawn at random, so that all but a few in a thousand have it after
 //! some log n rounds; who was missed has the next one. Datagrams a second are bounded whatever the fleet's size; what grows with it is
-//! the time after which a report is renewed ([`Rumours::interval`]).
+//! the time after which a report is renewed ([`GossipReports::interval`]).
 
 use crate::swim::Refused;
 use crate::{Micros, PAYLOAD};
@@ -46,7 +46,7 @@
     payload: &'a [u8],
 }
 
-struct Rumour {
+struct GossipReport {
     number: u64,
     /// When it was made, on this process's clock: later than truly, never sooner.
     made: Micros,
@@ -54,17 +54,17 @@
     told: u32,
 }
 
-pub struct Rumours {
+pub struct GossipReports {
     own: u64,
     rng: fastrand::Rng,
-    known: BTreeMap<(u8, u64), Rumour>,
+    known: BTreeMap<(u8, u64), GossipReport>,
     next: Micros,
 }
 
-impl Rumours {
+impl GossipReports {
     /// `own`: this process's boot.
-    pub fn new(own: u64, seed: u64) -> Rumours {
-        Rumours { own, rng: fastrand::Rng::with_seed(seed), known: BTreeMap::new(), next: 0 }
+    pub fn new(own: u64, seed: u64) -> GossipReports {
+        GossipReports { own, rng: fastrand::Rng::with_seed(seed), known: BTreeMap::new(), next: 0 }
     }
 
     /// How often each of so many members should say something new; it counts for [`LIFE`] times that.
@@ -76,7 +76,7 @@
     pub fn say(&mut self, now: Micros, channel: u8, payload: Vec<u8>) {
         if payload.len() <= MOST_REPORT {
             let number = self.known.get(&(channel, self.own)).map_or(1, |r| r.number + 1);
-            self.known.insert((channel, self.own), Rumour { number, made: now, payload, told: 0 });
+            self.known.insert((channel, self.own), GossipReport { number, made: now, payload, told: 0 });
         }
     }
 
@@ -98,7 +98,7 @@
             lines.push(line);
             rest = left;
         }
-        let life = Rumours::interval(members) * LIFE;
+        let life = GossipReports::interval(members) * LIFE;
         let mut fresh = Vec::new();
         for Line { channel, origin, number, age_ms, payload } in lines {
             let age = Micros::from(age_ms) * 1_000;
@@ -109,8 +109,8 @@
             }
             self.make_room(now, key);
             let payload = payload.to_vec();
-            let rumour = Rumour { number, made: now - age, payload: payload.clone(), told: 0 };
-            self.known.insert(key, rumour);
+            let gossip_report = GossipReport { number, made: now - age, payload: payload.clone(), told: 0 };
+            self.known.insert(key, gossip_report);
             fresh.push(Fresh { channel, origin, number, age, payload });
         }
         Ok(fresh)
@@ -131,8 +131,8 @@
         if now < self.next || members.is_empty() {
             return None;
         }
-        let life = Rumours::interval(members.len() + 1) * LIFE;
-        let live = |r: &Rumour| r.told < TELLINGS && now - r.made < life;
+        let life = GossipReports::interval(members.len() + 1) * LIFE;
+        let live = |r: &GossipReport| r.told < TELLINGS && now - r.made < life;
         let mut lines: Vec<((u32, Micros), (u8, u64))> =
             self.known.iter().filter(|(_, r)| live(r)).map(|(k, r)| ((r.told, -r.made), *k)).collect();
         if lines.is_empty() {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -25,20 +25,20 @@
 #![forbid(unsafe_code)]
 
 mod exchange;
+mod gossip_reports;
 mod judge;
 mod machine;
 #[cfg(feature = "mutants")]
 pub mod mutant;
 mod names;
 mod peer;
-mod rumours;
 mod swim;
 mod view;
 
 pub use exchange::{MOST_PARTS, PART};
+pub use gossip_reports::{Fresh, GossipReports, LIFE, MOST_REPORT};
 pub use machine::{Fleet, Refused, Settings};
 pub use peer::{MOST_NAME, Peer};
-pub use rumours::{Fresh, LIFE, MOST_REPORT, Rumours};
 pub use view::{Change, State, View};
 
 /// Is this fault switched on? Never outside tests.
--- a/fleet/tests/rumours.rs
+++ b/fleet/tests/rumours.rs
@@ -1,7 +1,7 @@
 //! Reports of members: each counts once, the newest alone, nearly all hear it, and what comes is bounded.
 
 use birchreach_fleet::mutant::{Mutant, with};
-use birchreach_fleet::{LIFE, MOST_REPORT, Micros, Rumours};
+use birchreach_fleet::{GossipReports, LIFE, MOST_REPORT, Micros};
 use std::net::SocketAddr;
 
 const S: Micros = 1_000_000;
@@ -10,16 +10,16 @@
     SocketAddr::from(([10, 0, (n / 200) as u8, (n % 200) as u8 + 1], 7000))
 }
 
-fn told(r: &mut Rumours, now: Micros) -> Option<Vec<u8>> {
+fn told(r: &mut GossipReports, now: Micros) -> Option<Vec<u8>> {
     r.due(now, &[at(1)]).map(|(_, bytes)| bytes)
 }
 
 #[test]
 fn reports_go_round() {
     for (count, seed) in [(5, 1), (40, 2), (300, 3)] {
-        let mut all: Vec<Rumours> =
-            (0..count).map(|n| Rumours::new(n as u64 + 1, seed * 1_000 + n as u64)).collect();
-        let interval = Rumours::interval(count);
+        let mut all: Vec<GossipReports> =
+            (0..count).map(|n| GossipReports::new(n as u64 + 1, seed * 1_000 + n as u64)).collect();
+        let interval = GossipReports::interval(count);
         let (mut heard, mut datagrams) = (0, 0);
         for (n, r) in all.iter_mut().enumerate() {
             r.say(0, 1, vec![n as u8; 110]);
@@ -41,7 +41,7 @@
 }
 
 fn count_once() -> Result<(), String> {
-    let (mut a, mut b) = (Rumours::new(1, 1), Rumours::new(2, 2));
+    let (mut a, mut b) = (GossipReports::new(1, 1), GossipReports::new(2, 2));
     a.say(0, 7, b"first".to_vec());
     let first = told(&mut a, 0).ok_or("nothing told")?;
     a.say(S, 7, b"second".to_vec());
@@ -69,19 +69,20 @@
 
 #[test]
 fn ages_add_up_and_run_out() {
-    let (mut a, mut b, mut c) = (Rumours::new(1, 1), Rumours::new(2, 2), Rumours::new(3, 3));
+    let (mut a, mut b, mut c) =
+        (GossipReports::new(1, 1), GossipReports::new(2, 2), GossipReports::new(3, 3));
     a.say(0, 7, b"word".to_vec());
     let word = told(&mut a, S / 2).unwrap();
     // A second under way, whose clock reads anything.
     let clock = 500 * S;
     let got = b.hear(clock, 3, |_| true, &word).unwrap();
     assert!((S / 2..S).contains(&got[0].age), "{got:?}");
-    let life = Rumours::interval(3) * LIFE;
+    let life = GossipReports::interval(3) * LIFE;
     let again = told(&mut b, clock + 2 * S).unwrap();
     let got = c.hear(0, 3, |_| true, &again).unwrap();
     assert!((5 * S / 2..3 * S).contains(&got[0].age), "{got:?}");
     assert_eq!(told(&mut c, life), None, "it has run out, and is not handed on");
-    let mut late = Rumours::new(4, 4);
+    let mut late = GossipReports::new(4, 4);
     assert!(late.hear(0, 3, |origin| origin != 1, &word).unwrap().is_empty(), "its origin is no member");
     assert_eq!(late.len(), 0);
 }
@@ -89,7 +90,7 @@
 #[test]
 fn noise_changes_nothing() {
     let mut rng = fastrand::Rng::with_seed(9);
-    let (mut a, mut b) = (Rumours::new(1, 1), Rumours::new(2, 2));
+    let (mut a, mut b) = (GossipReports::new(1, 1), GossipReports::new(2, 2));
     a.say(0, 1, vec![7; MOST_REPORT + 1]);
     assert!(told(&mut a, 0).is_none(), "too long a report is none");
     a.say(0, 1, vec![7; 300]);
@@ -105,7 +106,7 @@
         let _ = b.hear(0, 2, |_| member, &bytes);
     }
     assert!(b.len() <= 16_384);
-    let mut c = Rumours::new(3, 3);
+    let mut c = GossipReports::new(3, 3);
     for cut in 1..good.len() {
         assert!(c.hear(0, 2, |_| true, &good[..cut]).is_err(), "{cut} bytes of it");
     }
@@ -114,10 +115,10 @@
 
 #[test]
 fn origins_are_bounded() {
-    let (mut liar, mut b) = (Rumours::new(1, 1), Rumours::new(9, 2));
+    let (mut liar, mut b) = (GossipReports::new(1, 1), GossipReports::new(9, 2));
     b.say(0, 1, b"own".to_vec());
     for n in 0..20_000u64 {
-        liar = Rumours::new(n + 10, 1);
+        liar = GossipReports::new(n + 10, 1);
         liar.say(0, 1, b"x".to_vec());
         let bytes = told(&mut liar, 0).unwrap();
         b.hear(0, 2, |_| true, &bytes).unwrap();
--- a/health/tests/cases.rs
+++ b/health/tests/cases.rs
@@ -241,13 +241,13 @@
     p.tell(Fact::Stopping);
     assert_eq!((p.asks(""), p.monitor.verdict().state), ("drain\n".into(), State::Draining));
     assert_eq!(p.monitor.verdict().whole.weight, 0);
-    // One that waits for its elder is not ready before.
-    let mut heir = proxy(1, Settings::default());
-    let at = heir.now + 500 * MS;
-    heir.tell(Fact::ReadyAt(at));
-    assert_eq!(heir.asks(""), "ready down #starting\n");
-    heir.pass(500 * MS, |_| None);
-    assert_eq!(heir.asks(""), "ready up 100%\n");
+    // One that waits for its predecessor is not ready before.
+    let mut successor = proxy(1, Settings::default());
+    let at = successor.now + 500 * MS;
+    successor.tell(Fact::ReadyAt(at));
+    assert_eq!(successor.asks(""), "ready down #starting\n");
+    successor.pass(500 * MS, |_| None);
+    assert_eq!(successor.asks(""), "ready up 100%\n");
 }
 
 #[test]
--- a/health/tests/fleet.rs
+++ b/health/tests/fleet.rs
@@ -67,8 +67,8 @@
         }
     }
 
-    fn seconds(&mut self, seconds: Micros) -> Seen {
-        let mut seen = Seen::default();
+    fn seconds(&mut self, seconds: Micros) -> CoreEvent {
+        let mut seen = CoreEvent::default();
         for _ in 0..seconds * 1_000_000 / TICK {
             self.tick();
             let used = self.used();
@@ -88,13 +88,13 @@
 
 /// Over a stretch of time: the most that use differed, the most used, and each weight's least and most.
 #[derive(Default)]
-struct Seen {
+struct CoreEvent {
     spread: f64,
     top: f64,
     weights: Vec<(u8, u8)>,
 }
 
-impl Seen {
+impl CoreEvent {
     /// The widest that a weight moved, as a share of it.
     fn swing(&self) -> f64 {
         self.weights.iter().map(|(low, high)| f64::from(high - low) / f64::from(*high)).fold(0.0, f64::max)
--- a/hot/tests/common/mod.rs
+++ b/hot/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Many processes' machines on virtual time, with reports that go round by the fleet's own machine; reads come as drawn.
 #![allow(dead_code)]
 
-use birchreach_fleet::Rumours;
+use birchreach_fleet::GossipReports;
 use birchreach_hot::{Database, Entry, Hot, Key, Micros, Need, Report, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -37,7 +37,7 @@
 pub struct Net {
     pub now: Micros,
     pub all: Vec<Hot>,
-    rumours: Vec<Rumours>,
+    gossip_reports: Vec<GossipReports>,
     pub rng: fastrand::Rng,
     pub cut: Box<dyn Fn(usize, usize) -> bool>,
     /// Reports sent, and their bytes.
@@ -61,7 +61,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let one = |n: usize| {
             let mut hot = Hot::new(settings(count), n as u64 + 1, 1, now);
-            hot.fleet(count, Rumours::interval(count));
+            hot.fleet(count, GossipReports::interval(count));
             listed(&mut hot, 6);
             hot
         };
@@ -71,7 +71,9 @@
         Net {
             now,
             all: (0..count).map(one).collect(),
-            rumours: (0..count).map(|n| Rumours::new(n as u64 + 1, seed ^ (n as u64 + 7))).collect(),
+            gossip_reports: (0..count)
+                .map(|n| GossipReports::new(n as u64 + 1, seed ^ (n as u64 + 7)))
+                .collect(),
             rng,
             cut: Box::new(|_, _| false),
             sent: (0, 0),
@@ -111,19 +113,19 @@
         }
         self.all[n].step(now);
         if let Some(said) = self.all[n].say(now) {
-            self.rumours[n].say(now, 1, said);
+            self.gossip_reports[n].say(now, 1, said);
         }
         for due in self.all[n].due(now) {
             self.due.entry(due.key).or_default().push((now, n));
         }
         let others: Vec<SocketAddr> = (0..count).filter(|o| *o != n).map(at).collect();
-        let Some((to, bytes)) = self.rumours[n].due(now, &others) else { return };
+        let Some((to, bytes)) = self.gossip_reports[n].due(now, &others) else { return };
         self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
         let to = (0..count).find(|o| at(*o) == to).unwrap_or(0);
         if (self.cut)(n, to) {
             return;
         }
-        let fresh = self.rumours[to].hear(now, count, |_| true, &bytes).unwrap_or_default();
+        let fresh = self.gossip_reports[to].hear(now, count, |_| true, &bytes).unwrap_or_default();
         for f in fresh {
             let _ = self.all[to].hear(now, f.origin, f.number, f.age, &f.payload);
         }
--- a/knowledge/src/advice.rs
+++ b/knowledge/src/advice.rs
@@ -1,7 +1,7 @@
 //! The few things that facts may be used for. Each is a function of its own, and there is none besides: none sends a write
 //! to anybody.
 
-use crate::{Facts, Knowledge, Micros, Seen};
+use crate::{CoreEvent, Facts, Knowledge, Micros};
 
 /// Own suspicion halves after this time; what was heard, sooner by half for each hop.
 const SUSPICION_HALVES: Micros = 4_000_000;
@@ -11,7 +11,7 @@
 const TRUST_HALVES: Micros = 10_000_000;
 
 /// A lower bound for the log position of the boot that the list names.
-pub fn position(knowledge: &Knowledge, uid: &str) -> Option<Seen<Micros>> {
+pub fn position(knowledge: &Knowledge, uid: &str) -> Option<CoreEvent<Micros>> {
     knowledge.facts(uid)?.position
 }
 
@@ -28,7 +28,7 @@
 }
 
 /// What a sighting is still worth.
-fn halved<T>(seen: &Seen<T>, now: Micros, halves: Micros) -> f64
+fn halved<T>(seen: &CoreEvent<T>, now: Micros, halves: Micros) -> f64
 where
     T: Copy + Ord,
 {
@@ -36,7 +36,7 @@
 }
 
 /// The sighting as primary, unless a later one says that it is none.
-fn as_primary(facts: &Facts) -> Option<Seen<()>> {
+fn as_primary(facts: &Facts) -> Option<CoreEvent<()>> {
     facts.primary.filter(|primary| facts.replica.is_none_or(|replica| replica.at < primary.at))
 }
 
@@ -46,20 +46,20 @@
     pub uid: String,
     /// 0 to 1: by age, hops and contradiction.
     pub trust: f64,
-    pub seen: Seen<()>,
+    pub seen: CoreEvent<()>,
 }
 
 /// Whom to *ask* whether it is the group's primary, the likeliest first. Not there: who was seen as a replica since, and who
 /// was seen as primary so long before another that it has been deposed.
 pub fn ask_first(knowledge: &Knowledge, group: u32, now: Micros) -> Vec<Candidate> {
     let of_group = knowledge.servers().filter(|(_, facts)| facts.group == group);
-    let mut seen: Vec<(&str, Seen<()>)> =
+    let mut seen: Vec<(&str, CoreEvent<()>)> =
         of_group.filter_map(|(uid, facts)| Some((uid, as_primary(facts)?))).collect();
     seen.sort_by_key(|(uid, s)| (std::cmp::Reverse(s.at), *uid));
     let Some((_, newest)) = seen.first().copied() else { return Vec::new() };
     seen.retain(|(_, s)| newest.at - s.at < CONTRADICTS);
     let contradicted = if seen.len() > 1 { 0.5 } else { 1.0 };
-    let candidate = |(uid, seen): (&str, Seen<()>)| Candidate {
+    let candidate = |(uid, seen): (&str, CoreEvent<()>)| Candidate {
         uid: uid.into(),
         trust: halved(&seen, now, TRUST_HALVES) * contradicted * (1.0 - suspicion(knowledge, uid, now)),
         seen,
--- a/knowledge/src/facts.rs
+++ b/knowledge/src/facts.rs
@@ -31,7 +31,7 @@
 /// Something as it was seen: when (on the holder's clock, and never later than it truly was), how, by whom, and through how
 /// many others it was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Seen<T> {
+pub struct CoreEvent<T> {
     pub value: T,
     pub at: Micros,
     pub hops: u8,
@@ -39,18 +39,18 @@
     pub observer: u64,
 }
 
-impl<T: Copy + Ord> Seen<T> {
+impl<T: Copy + Ord> CoreEvent<T> {
     /// The later sighting; of one instant, the one told through fewer, then the surer. The rest only makes the order total.
     fn order(&self) -> impl Ord + use<T> {
         (self.at, Reverse(self.hops), self.source, self.observer, self.value)
     }
 
     /// The greater by another first key.
-    fn by<K: Ord>(&self, other: &Seen<T>, key: impl Fn(&Seen<T>) -> K) -> Seen<T> {
+    fn by<K: Ord>(&self, other: &CoreEvent<T>, key: impl Fn(&CoreEvent<T>) -> K) -> CoreEvent<T> {
         if (key(self), self.order()) >= (key(other), other.order()) { *self } else { *other }
     }
 
-    fn later(&self, other: &Seen<T>) -> Seen<T> {
+    fn later(&self, other: &CoreEvent<T>) -> CoreEvent<T> {
         self.by(other, |_| ())
     }
 
@@ -73,17 +73,17 @@
     pub boot_ms: u64,
     pub group: u32,
     /// The highest log position seen, on the servers' own scale: a lower bound for good.
-    pub position: Option<Seen<Micros>>,
+    pub position: Option<CoreEvent<Micros>>,
     /// How far behind the present it was when that was seen last.
-    pub lag: Option<Seen<Micros>>,
-    pub primary: Option<Seen<()>>,
-    pub replica: Option<Seen<()>>,
+    pub lag: Option<CoreEvent<Micros>>,
+    pub primary: Option<CoreEvent<()>>,
+    pub replica: Option<CoreEvent<()>>,
     /// It was found silent or failing, or well.
-    pub suspect: Option<Seen<bool>>,
+    pub suspect: Option<CoreEvent<bool>>,
     /// What its answers take, in the mean.
-    pub latency: Option<Seen<Micros>>,
+    pub latency: Option<CoreEvent<Micros>>,
     /// What is left of its budget while it is cold, in thousandths of the whole.
-    pub cold: Option<Seen<u16>>,
+    pub cold: Option<CoreEvent<u16>>,
 }
 
 impl Facts {
@@ -101,12 +101,12 @@
             boot_ms: self.boot_ms,
             group: self.group,
             position: join(self.position, other.position, |a, b| a.by(b, |seen| seen.value)),
-            lag: join(self.lag, other.lag, Seen::later),
-            primary: join(self.primary, other.primary, Seen::later),
-            replica: join(self.replica, other.replica, Seen::later),
-            suspect: join(self.suspect, other.suspect, Seen::later),
-            latency: join(self.latency, other.latency, Seen::later),
-            cold: join(self.cold, other.cold, Seen::later),
+            lag: join(self.lag, other.lag, CoreEvent::later),
+            primary: join(self.primary, other.primary, CoreEvent::later),
+            replica: join(self.replica, other.replica, CoreEvent::later),
+            suspect: join(self.suspect, other.suspect, CoreEvent::later),
+            latency: join(self.latency, other.latency, CoreEvent::later),
+            cold: join(self.cold, other.cold, CoreEvent::later),
         }
     }
 
@@ -186,8 +186,8 @@
         self.join(uid, &facts);
     }
 
-    fn own<T>(&self, value: T, at: Micros, source: Source) -> Option<Seen<T>> {
-        Some(Seen { value, at, hops: 0, source, observer: self.observer })
+    fn own<T>(&self, value: T, at: Micros, source: Source) -> Option<CoreEvent<T>> {
+        Some(CoreEvent { value, at, hops: 0, source, observer: self.observer })
     }
 
     /// A log position, seen by this proxy itself; and how far behind that was.
--- a/knowledge/src/lib.rs
+++ b/knowledge/src/lib.rs
@@ -1,7 +1,7 @@
 //! What proxies may learn of servers from one another, weighed by age and origin: decisions without I/O or clock, and
 //! beside them the frames in which it travels and the snapshot in which it rests.
 //!
-//! [`Knowledge`] holds facts as they were seen ([`Seen`]) and joins what others tell; [`advice`] says the few things that
+//! [`Knowledge`] holds facts as they were seen ([`CoreEvent`]) and joins what others tell; [`advice`] says the few things that
 //! facts may be used for. [`join::Joiner`] decides whom a newcomer asks and how long its start waits;
 //! [`donor::Donor`] decides whom a running proxy answers, so that its clients lose nothing.
 //!
@@ -34,7 +34,7 @@
 pub mod talk;
 mod told;
 
-pub use facts::{Facts, Knowledge, Listed, Role, Seen, Source};
+pub use facts::{CoreEvent, Facts, Knowledge, Listed, Role, Source};
 pub use keys::Hasher;
 pub use told::{Told, ToldFact, ToldServer};
 
--- a/knowledge/src/told.rs
+++ b/knowledge/src/told.rs
@@ -2,7 +2,7 @@
 //! here.
 
 use crate::Micros;
-use crate::facts::{Facts, Knowledge, MOST_NAME, Seen, Source};
+use crate::facts::{CoreEvent, Facts, Knowledge, MOST_NAME, Source};
 use serde::{Deserialize, Serialize};
 
 /// Beyond so many hops nothing is believed, nor told on.
@@ -41,7 +41,7 @@
     pub servers: Vec<ToldServer>,
 }
 
-fn out<T: Copy + Ord>(seen: Option<Seen<T>>, now: Micros) -> Option<ToldFact<T>> {
+fn out<T: Copy + Ord>(seen: Option<CoreEvent<T>>, now: Micros) -> Option<ToldFact<T>> {
     let seen = seen.filter(|s| s.hops < MOST_HOPS && s.age(now) <= MOST_AGE)?;
     let age_ms = u32::try_from((seen.age(now) + 999) / 1000).ok()?;
     Some(ToldFact {
@@ -92,14 +92,14 @@
         }
     }
 
-    fn take<T>(&mut self, told: Option<ToldFact<T>>, asked_at: Micros) -> Option<Seen<T>> {
+    fn take<T>(&mut self, told: Option<ToldFact<T>>, asked_at: Micros) -> Option<CoreEvent<T>> {
         let told = told?;
         if told.observer == self.observer || told.hops >= MOST_HOPS {
             self.dropped += 1;
             return None;
         }
         let at = asked_at - Micros::from(told.age_ms) * 1000;
-        Some(Seen {
+        Some(CoreEvent {
             value: told.value,
             at,
             hops: told.hops + 1,
--- a/knowledge/tests/properties.rs
+++ b/knowledge/tests/properties.rs
@@ -1,6 +1,6 @@
 //! The crate's invariants over seeded knowledge. A seed that fails is printed, and fails again.
 
-use birchreach_knowledge::{Facts, Knowledge, Listed, Micros, Role, Seen, Source, Told, advice};
+use birchreach_knowledge::{CoreEvent, Facts, Knowledge, Listed, Micros, Role, Source, Told, advice};
 use std::collections::BTreeMap;
 
 const S: Micros = 1_000_000;
@@ -17,9 +17,9 @@
     k
 }
 
-fn seen<T>(rng: &mut fastrand::Rng, value: T) -> Option<Seen<T>> {
+fn seen<T>(rng: &mut fastrand::Rng, value: T) -> Option<CoreEvent<T>> {
     let sources = [Source::List, Source::Report, Source::Note, Source::Served];
-    rng.bool().then(|| Seen {
+    rng.bool().then(|| CoreEvent {
         value,
         // Few values: ties are what an order must not stumble over.
         at: rng.i64(0..4),
--- a/options/src/health.rs
+++ b/options/src/health.rs
@@ -20,7 +20,7 @@
 
 /// An address where balancers call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Door {
+pub struct CheckListener {
     pub listen: SocketAddr,
     /// Where that stands in the file.
     pub line: usize,
@@ -32,14 +32,14 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Http {
-    pub door: Door,
+    pub check_listener: CheckListener,
     /// A connection may be kept between calls for so long.
     pub idle: Micros,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Agent {
-    pub door: Door,
+    pub check_listener: CheckListener,
     /// A balancer that says nothing for so long asks for the whole.
     pub ask: Micros,
     /// Replies hold how many connections there is room for.
@@ -48,10 +48,10 @@
 
 impl Health {
     /// Every address where balancers call, and the element that names it.
-    pub fn doors(&self) -> impl Iterator<Item = (&'static str, &Door)> {
-        let http = self.http.as_ref().map(|http| ("http", &http.door));
-        let agent = self.agent.as_ref().map(|agent| ("agent", &agent.door));
-        let grpc = self.grpc.as_ref().map(|grpc| ("grpc", &grpc.door));
+    pub fn check_listeners(&self) -> impl Iterator<Item = (&'static str, &CheckListener)> {
+        let http = self.http.as_ref().map(|http| ("http", &http.check_listener));
+        let agent = self.agent.as_ref().map(|agent| ("agent", &agent.check_listener));
+        let grpc = self.grpc.as_ref().map(|grpc| ("grpc", &grpc.check_listener));
         http.into_iter().chain(agent).chain(grpc)
     }
 }
@@ -61,17 +61,17 @@
         let mut settings = Settings::default();
         let mut lead = 3_000_000;
         let http = self.child(node, "http").and_then(|node| {
-            let mut http = Http { door: self.door(node)?, idle: 65_000_000 };
+            let mut http = Http { check_listener: self.check_listener(node)?, idle: 65_000_000 };
             self.ms(node, "idle-ms", &mut http.idle);
             Some(http)
         });
         let grpc = self.child(node, "grpc").and_then(|node| {
-            let mut grpc = Http { door: self.door(node)?, idle: 65_000_000 };
+            let mut grpc = Http { check_listener: self.check_listener(node)?, idle: 65_000_000 };
             self.ms(node, "idle-ms", &mut grpc.idle);
             Some(grpc)
         });
         let agent = self.child(node, "agent").and_then(|node| {
-            let mut agent = Agent { door: self.door(node)?, ask: 20_000, maxconn: false };
+            let mut agent = Agent { check_listener: self.check_listener(node)?, ask: 20_000, maxconn: false };
             self.ms(node, "ask-ms", &mut agent.ask);
             agent.maxconn = matches!(self.doc.get_attribute(node, "maxconn"), Some("true" | "1"));
             Some(agent)
@@ -113,26 +113,28 @@
             self.fault(node, "neither http, agent nor grpc: nobody could ask");
         }
         let health = Health { http, agent, grpc, settings, lead };
-        let doors: Vec<_> = health.doors().collect();
-        for (n, (element, door)) in doors.iter().enumerate() {
-            if let Some((other, _)) = doors[..n].iter().find(|(_, other)| meet(other.listen, door.listen)) {
-                let message = format!("listen: {} is used by {other} too", door.listen);
-                self.faults.push(Fault { line: door.line, element: (*element).into(), message });
+        let check_listeners: Vec<_> = health.check_listeners().collect();
+        for (n, (element, check_listener)) in check_listeners.iter().enumerate() {
+            if let Some((other, _)) =
+                check_listeners[..n].iter().find(|(_, other)| meet(other.listen, check_listener.listen))
+            {
+                let message = format!("listen: {} is used by {other} too", check_listener.listen);
+                self.faults.push(Fault { line: check_listener.line, element: (*element).into(), message });
             }
         }
         Some(health)
     }
 
-    fn door(&mut self, node: NodeId) -> Option<Door> {
-        let mut door = Door {
+    fn check_listener(&mut self, node: NodeId) -> Option<CheckListener> {
+        let mut check_listener = CheckListener {
             listen: self.value(node, "listen")?,
             line: self.doc.node_line(node),
             callers: 64,
             silent: 2_000_000,
         };
-        self.number(node, "callers", &mut door.callers);
-        self.ms(node, "silent-ms", &mut door.silent);
-        Some(door)
+        self.number(node, "callers", &mut check_listener.callers);
+        self.ms(node, "silent-ms", &mut check_listener.silent);
+        Some(check_listener)
     }
 
     fn claims(&mut self, node: NodeId, s: &mut Settings) {
--- a/options/src/lib.rs
+++ b/options/src/lib.rs
@@ -10,7 +10,7 @@
 mod reader;
 
 pub use background::{Hot, Split};
-pub use health::{Agent, Door, Health, Http};
+pub use health::{Agent, CheckListener, Health, Http};
 pub use links::{Fleet, Knowledge};
 use reader::Reader;
 use std::fmt;
@@ -98,7 +98,8 @@
         let split = part(self, "split").and_then(|node| self.split(node, fleet.is_some()));
         let options = Options { health, knowledge, fleet, hot, split };
         let clashes = options.links().filter_map(|(element, line, at)| {
-            let (other, _) = options.doors().find(|(_, door)| meet(door.listen, at))?;
+            let (other, _) =
+                options.check_listeners().find(|(_, check_listener)| meet(check_listener.listen, at))?;
             let message = format!("listen: {at} is used by {other} too");
             Some(Fault { line, element: element.into(), message })
         });
@@ -118,11 +119,11 @@
 impl Options {
     /// Descriptors that are to be kept for what is switched on here: callers and listeners.
     pub fn descriptors(&self) -> usize {
-        self.doors().map(|(_, door)| door.callers + 1).sum()
+        self.check_listeners().map(|(_, check_listener)| check_listener.callers + 1).sum()
     }
 
-    fn doors(&self) -> impl Iterator<Item = (&'static str, &Door)> {
-        self.health.iter().flat_map(Health::doors)
+    fn check_listeners(&self) -> impl Iterator<Item = (&'static str, &CheckListener)> {
+        self.health.iter().flat_map(Health::check_listeners)
     }
 
     /// Where other proxies reach this one.
@@ -135,19 +136,22 @@
     /// More descriptors than may be spared of so many.
     pub fn too_many(&self, sockets: usize) -> Option<Fault> {
         let (wanted, most) = (self.descriptors(), sockets / 2);
-        let (element, door) = self.doors().max_by_key(|(_, door)| door.callers).filter(|_| wanted > most)?;
+        let (element, check_listener) = self
+            .check_listeners()
+            .max_by_key(|(_, check_listener)| check_listener.callers)
+            .filter(|_| wanted > most)?;
         let message = format!("callers: {wanted} descriptors for checks are more than half of {sockets}");
-        Some(Fault { line: door.line, element: element.into(), message })
+        Some(Fault { line: check_listener.line, element: element.into(), message })
     }
 
     /// Addresses here that something else in the process uses already.
     pub fn taken(&self, others: &[(&str, SocketAddr)]) -> Vec<Fault> {
-        let clash = |(element, door): (&str, &Door)| {
-            let (name, _) = others.iter().find(|(_, at)| meet(*at, door.listen))?;
-            let message = format!("listen: {} is used as {name} already", door.listen);
-            Some(Fault { line: door.line, element: element.into(), message })
+        let clash = |(element, check_listener): (&str, &CheckListener)| {
+            let (name, _) = others.iter().find(|(_, at)| meet(*at, check_listener.listen))?;
+            let message = format!("listen: {} is used as {name} already", check_listener.listen);
+            Some(Fault { line: check_listener.line, element: element.into(), message })
         };
-        let mut faults: Vec<Fault> = self.doors().filter_map(clash).collect();
+        let mut faults: Vec<Fault> = self.check_listeners().filter_map(clash).collect();
         for (element, line, at) in self.links() {
             if let Some((name, _)) = others.iter().find(|(_, other)| meet(*other, at)) {
                 let message = format!("listen: {at} is used as {name} already");
--- a/options/tests/faults.rs
+++ b/options/tests/faults.rs
@@ -10,7 +10,7 @@
     let options = parse(EXAMPLE).unwrap();
     let health = options.health.unwrap();
     assert_eq!(health.settings, Settings { probes: Some(Probing::default()), ..Settings::default() });
-    assert_eq!((health.http.unwrap().door.callers, health.lead), (64, 3_000_000));
+    assert_eq!((health.http.unwrap().check_listener.callers, health.lead), (64, 3_000_000));
     // What is left out is what it says.
     let short = "<birchreach-options><health><http listen='127.0.0.1:7081'/></health></birchreach-options>";
     let short = parse(short).unwrap().health.unwrap();
--- a/proxy/src/core/attempts.rs
+++ b/proxy/src/core/attempts.rs
@@ -1,7 +1,7 @@
 //! What becomes of attempts and probes: one outcome each, told to the decisions and to observers.
 
 use super::{Answer, Attempt, Command, Core, Out, Work};
-use crate::observe::Seen;
+use crate::observe::CoreEvent;
 use crate::reply::Reply;
 use crate::stats::End;
 use birchreach::*;
@@ -30,7 +30,7 @@
         entry.passing = Some(attempt);
         self.commands.push_back(Command::Begin { client: entry.client, request, attempt, length });
         if let Some(out) = self.out.get(&attempt) {
-            self.observers.tell(now, Seen::Alive { server: out.server });
+            self.observers.tell(now, CoreEvent::Alive { server: out.server });
         }
         self.handle(now, Event::Started { request, attempt: attempt.1 });
         true
@@ -91,7 +91,7 @@
 
     fn tell_ended(&self, now: Micros, server: ServerId, write: bool, reply: &Reply) {
         let uid = self.servers.name(server);
-        self.observers.tell(now, Seen::Ended { server, uid, write, reply });
+        self.observers.tell(now, CoreEvent::Ended { server, uid, write, reply });
     }
 
     /// What a read's key was answered with, by a member of its group or from a copy.
@@ -100,17 +100,17 @@
         let (group, class, key) = (entry.group, entry.class, entry.work.key());
         match &reply.value {
             _ if copy && matches!(reply.ending, Ending::Ok | Ending::Miss) => {
-                self.observers.tell(now, Seen::Copied { group, key, server, position: reply.copied });
+                self.observers.tell(now, CoreEvent::Copied { group, key, server, position: reply.copied });
             }
             Some(value) if !copy && !self.classes.writes(class) => {
-                self.observers.tell(now, Seen::Served { group, class, key, value });
+                self.observers.tell(now, CoreEvent::Served { group, class, key, value });
             }
             _ => {}
         }
     }
 
     pub(super) fn probe(&mut self, now: Micros, server: ServerId) {
-        self.observers.tell(now, Seen::Sent { server });
+        self.observers.tell(now, CoreEvent::Sent { server });
         self.commands.push_back(Command::Probe { server });
     }
 
@@ -123,7 +123,7 @@
 
     /// A probe came back that was sent for an observer's sake; the decisions did not ask for it.
     pub fn checked(&self, now: Micros, server: ServerId, reply: &Reply) {
-        self.observers.tell(now, Seen::Checked { server, reply });
+        self.observers.tell(now, CoreEvent::Checked { server, reply });
     }
 
     /// A position that was proven elsewhere for the present boot of a server that the list names: the decisions take it as a
@@ -143,12 +143,12 @@
 
     /// A connection came up: its server lives.
     pub fn alive(&self, now: Micros, server: ServerId) {
-        self.observers.tell(now, Seen::Alive { server });
+        self.observers.tell(now, CoreEvent::Alive { server });
     }
 
     /// Discovery has answered.
     pub fn discovery(&self, now: Micros) {
-        self.observers.tell(now, Seen::Discovery);
+        self.observers.tell(now, CoreEvent::Discovery);
     }
 
     /// Looks how long writes have been without an attempt out, and how many requests are.
@@ -156,7 +156,7 @@
         let idle = self.requests.values().filter(|e| e.out == 0);
         let held = idle.clone().count();
         let writes = idle.filter(|e| self.classes.writes(e.class)).map(|e| (e.group, e.idle_since));
-        self.observers.tell(now, Seen::Held { writes: &writes.collect::<Vec<_>>() });
+        self.observers.tell(now, CoreEvent::Held { writes: &writes.collect::<Vec<_>>() });
         held
     }
 }
--- a/proxy/src/core/mod.rs
+++ b/proxy/src/core/mod.rs
@@ -9,7 +9,7 @@
 mod servers;
 
 use crate::config::hash;
-use crate::observe::{Adviser, Observers, Seen};
+use crate::observe::{Adviser, CoreEvent, Observers};
 use crate::stats::{End, Gauges, Stats};
 use birchreach::*;
 use birchreach_settings::Site;
@@ -107,7 +107,7 @@
                     let attempt = (request, AttemptNo(entry.attempts));
                     entry.attempts += 1;
                     entry.out += 1;
-                    self.observers.tell(now, Seen::Sent { server });
+                    self.observers.tell(now, CoreEvent::Sent { server });
                     let copy = entry.guests.contains(&server);
                     self.out.insert(attempt, Out { server, class: entry.class, sent: now, copy });
                     let (work, until) = (entry.work.clone(), now + patience);
@@ -138,7 +138,7 @@
     fn ended(&mut self, now: Micros, entry: &Entry<W>, end: End) {
         self.classes.ended(&mut self.stats, entry.class, end);
         if !self.classes.writes(entry.class) {
-            self.observers.tell(now, Seen::Read { group: entry.group, served: end == End::Served });
+            self.observers.tell(now, CoreEvent::Read { group: entry.group, served: end == End::Served });
         }
     }
 
--- a/proxy/src/core/servers.rs
+++ b/proxy/src/core/servers.rs
@@ -3,7 +3,7 @@
 
 use super::{Command, Core, Line, Work};
 use crate::discovery::{State, Target, Update};
-use crate::observe::{Observer, Seen};
+use crate::observe::{CoreEvent, Observer};
 use birchreach::*;
 use birchreach_settings::Site;
 use std::cell::RefCell;
@@ -23,10 +23,10 @@
 }
 
 impl Listed {
-    fn seen(&self, server: ServerId) -> Seen<'_> {
+    fn seen(&self, server: ServerId) -> CoreEvent<'_> {
         match self.removed {
-            true => Seen::Unlisted { server, uid: &self.uid },
-            false => Seen::Listed {
+            true => CoreEvent::Unlisted { server, uid: &self.uid },
+            false => CoreEvent::Listed {
                 server,
                 uid: &self.uid,
                 group: self.group,
--- a/proxy/src/health.rs
+++ b/proxy/src/health.rs
@@ -1,7 +1,7 @@
 //! Between the core and the health crate: the proxy's values as facts, and the settings of both put together. It owns
 //! the translation and no decision; the verdict is the monitor's.
 
-use crate::observe::{Observer, Seen};
+use crate::observe::{CoreEvent, Observer};
 use crate::reply::Reply;
 use birchreach::{Ending, GroupId, Micros, Need, Role, ServerId};
 use birchreach_health::{Change, Class, Fact, Group, How, Monitor, Needs, Server, Settings};
@@ -104,23 +104,23 @@
 }
 
 impl Observer for Watch {
-    fn see(&mut self, now: Micros, seen: Seen<'_>) {
+    fn see(&mut self, now: Micros, seen: CoreEvent<'_>) {
         let fact = match seen {
-            Seen::Listed { server: id, group: of, primary, up, .. } => {
+            CoreEvent::Listed { server: id, group: of, primary, up, .. } => {
                 Fact::Listed { server: server(id), group: group(of), primary, up }
             }
-            Seen::Unlisted { server: id, .. } => Fact::Unlisted { server: server(id) },
-            Seen::Sent { server: id } => Fact::Sent { server: server(id) },
-            Seen::Ended { server: id, write, reply, .. } => {
+            CoreEvent::Unlisted { server: id, .. } => Fact::Unlisted { server: server(id) },
+            CoreEvent::Sent { server: id } => Fact::Sent { server: server(id) },
+            CoreEvent::Ended { server: id, write, reply, .. } => {
                 Fact::Ended { server: server(id), write, how: how(reply), role: role(reply, write) }
             }
-            Seen::Checked { server: id, reply } => {
+            CoreEvent::Checked { server: id, reply } => {
                 Fact::Probed { server: server(id), how: how(reply), role: role(reply, false) }
             }
-            Seen::Alive { server: id } => Fact::Alive { server: server(id) },
-            Seen::Read { group: of, served } => Fact::Read { group: group(of), served },
-            Seen::Discovery => Fact::Discovery,
-            Seen::Held { writes } => return self.held(now, writes),
+            CoreEvent::Alive { server: id } => Fact::Alive { server: server(id) },
+            CoreEvent::Read { group: of, served } => Fact::Read { group: group(of), served },
+            CoreEvent::Discovery => Fact::Discovery,
+            CoreEvent::Held { writes } => return self.held(now, writes),
             // Of no concern to balancers.
             _ => return,
         };
--- a/proxy/src/hot.rs
+++ b/proxy/src/hot.rs
@@ -1,7 +1,7 @@
 //! The proxy's values as the crate `hot` has them: reads that come, databases of the list, answers of guests; and what operators are
 //! shown of it. It owns the words; which keys are hot, and who has copies, is the crate's to say.
 
-use crate::observe::{Adviser, Asked, Observer, Seen};
+use crate::observe::{Adviser, Asked, CoreEvent, Observer};
 use birchreach::{Micros, Need, ServerId};
 use birchreach_hot::{Database, Hot, Key, Need as Needs, Settings};
 use birchreach_knowledge::Hasher;
@@ -105,15 +105,15 @@
 }
 
 impl Observer for Watch {
-    fn see(&mut self, now: Micros, seen: Seen<'_>) {
+    fn see(&mut self, now: Micros, seen: CoreEvent<'_>) {
         match seen {
-            Seen::Listed { server, uid, group, primary, up, .. } => {
+            CoreEvent::Listed { server, uid, group, primary, up, .. } => {
                 let listed = Listed { uid: uid.into(), group: group.0, primary: primary == Some(true), up };
                 self.listed.insert(server, listed);
                 self.changed = true;
             }
-            Seen::Unlisted { server, .. } => self.changed |= self.listed.remove(&server).is_some(),
-            Seen::Copied { group, key, server, position } => {
+            CoreEvent::Unlisted { server, .. } => self.changed |= self.listed.remove(&server).is_some(),
+            CoreEvent::Copied { group, key, server, position } => {
                 self.served += u64::from(position.is_some());
                 self.missed += u64::from(position.is_none());
                 let key = self.key(group.0, key);
--- a/proxy/src/net/admin.rs
+++ b/proxy/src/net/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door: its listener and callers. It has descriptors of its own, and silent callers make
+//! The admin listener: its listener and callers. It has descriptors of its own, and silent callers make
 //! room for those who speak.
 
 use super::cx::Cx;
@@ -47,31 +47,31 @@
     since: Micros,
 }
 
-pub struct Door {
+pub struct AdminListener {
     listener: Option<TcpListener>,
     slots: Slab<Open>,
     waiting: bool,
 }
 
-impl Door {
-    /// Without an address there is no door.
-    pub fn new(registry: &Registry, address: Option<SocketAddr>) -> Result<Door, String> {
-        let mut door = Door { listener: None, slots: Slab::new(), waiting: false };
+impl AdminListener {
+    /// Without an address there is no listener.
+    pub fn new(registry: &Registry, address: Option<SocketAddr>) -> Result<AdminListener, String> {
+        let mut admin = AdminListener { listener: None, slots: Slab::new(), waiting: false };
         if let Some(address) = address {
             let bound = TcpListener::bind(address);
             let mut listener = bound.map_err(|e| format!("listening for operators on {address}: {e}"))?;
-            let registered = registry.register(&mut listener, Source::Door.token(), Interest::READABLE);
+            let registered = registry.register(&mut listener, Source::Admin.token(), Interest::READABLE);
             registered.map_err(|e| format!("watching {address}: {e}"))?;
-            door.listener = Some(listener);
+            admin.listener = Some(listener);
         }
-        Ok(door)
+        Ok(admin)
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
         self.listener.as_ref()?.local_addr().ok()
     }
 
-    pub fn knock(&mut self) {
+    pub fn accept_ready(&mut self) {
         self.waiting = true;
     }
 
--- a/proxy/src/net/background/mod.rs
+++ b/proxy/src/net/background/mod.rs
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Errands that are over; those whose end was never told are given up.
+    /// BackgroundQueries that are over; those whose end was never told are given up.
     fn ended(&mut self, now: Micros, done: Vec<Done>) {
         for done in done {
             self.scheduler.ended(done.number);
--- a/proxy/src/net/background/start.rs
+++ b/proxy/src/net/background/start.rs
@@ -7,7 +7,7 @@
 use crate::split;
 use birchreach::Micros;
 use birchreach_background::{Budget, Kind};
-use birchreach_fleet::Rumours;
+use birchreach_fleet::GossipReports;
 use std::cell::RefCell;
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -103,7 +103,7 @@
         let (view, speaks) = (fellows.view(), fellows.speaks());
         let now = self.now;
         act(&mut background, now);
-        background.step(now, view.members, Rumours::interval(view.members));
+        background.step(now, view.members, GossipReports::interval(view.members));
         let said = background.say(now);
         let (mut cx, parts) = self.lend();
         background.ended(now, parts.pool.done());
--- a/proxy/src/net/balancers.rs
+++ b/proxy/src/net/balancers.rs
@@ -43,11 +43,11 @@
     pub(super) fn start_health(&mut self) -> Result<(), String> {
         self.watch();
         let health = self.config.options.health.clone();
-        let elder = self.twin.has_elder();
+        let predecessor = self.twin.has_predecessor();
         // The one that this process replaces answers until it yields.
-        let opened = self.checks.open(if elder { None } else { health.as_ref() })?;
+        let opened = self.checks.open(if predecessor { None } else { health.as_ref() })?;
         self.with_checks(|checks, cx| checks.take(cx, health, opened));
-        if elder {
+        if predecessor {
             self.ready_from(self.now + NO_WORD);
         }
         Ok(())
@@ -113,9 +113,9 @@
             }
         }
         if self.health.ready_at > self.now && !self.health.yields_heard {
-            let left = match self.twin.elder_yields() {
+            let left = match self.twin.predecessor_yields() {
                 Some(at) => (at - unix).clamp(0, NO_WORD),
-                None if self.twin.has_elder() => return,
+                None if self.twin.has_predecessor() => return,
                 None => 0,
             };
             self.health.yields_heard = true;
--- a/proxy/src/net/checks/listeners.rs
+++ b/proxy/src/net/checks/listeners.rs
@@ -4,7 +4,7 @@
 use super::super::sources::Source;
 use super::{Checks, Kind};
 use birchreach::Micros;
-use birchreach_options::{Door, Health};
+use birchreach_options::{CheckListener, Health};
 use mio::Interest;
 use mio::net::TcpListener;
 use std::net::SocketAddr;
@@ -26,10 +26,10 @@
 /// Listeners opened for options that are not in force yet.
 pub struct Opened(Vec<Listening>);
 
-pub(super) fn doors(options: &Health) -> impl Iterator<Item = (Kind, &Door)> {
-    let http = options.http.as_ref().map(|http| (Kind::Http, &http.door));
-    let agent = options.agent.as_ref().map(|agent| (Kind::Agent, &agent.door));
-    let grpc = options.grpc.as_ref().map(|grpc| (Kind::Grpc, &grpc.door));
+pub(super) fn check_listeners(options: &Health) -> impl Iterator<Item = (Kind, &CheckListener)> {
+    let http = options.http.as_ref().map(|http| (Kind::Http, &http.check_listener));
+    let agent = options.agent.as_ref().map(|agent| (Kind::Agent, &agent.check_listener));
+    let grpc = options.grpc.as_ref().map(|grpc| (Kind::Grpc, &grpc.check_listener));
     http.into_iter().chain(agent).chain(grpc)
 }
 
@@ -50,13 +50,14 @@
     /// Opens what these options want and is not open; those in force are not touched.
     pub fn open(&self, options: Option<&Health>) -> Result<Opened, String> {
         let mut opened = Vec::new();
-        for (kind, door) in options.into_iter().flat_map(doors) {
-            if self.listening.iter().any(|l| l.kind == kind && l.address == door.listen) {
+        for (kind, check_listener) in options.into_iter().flat_map(check_listeners) {
+            if self.listening.iter().any(|l| l.kind == kind && l.address == check_listener.listen) {
                 continue;
             }
-            let failed = |e| format!("listening for {} checks on {}: {e}", kind.word(), door.listen);
-            let listener = listen(door.listen, self.shared).map_err(failed)?;
-            opened.push(Listening { kind, listener, address: door.listen, waiting: true });
+            let failed =
+                |e| format!("listening for {} checks on {}: {e}", kind.word(), check_listener.listen);
+            let listener = listen(check_listener.listen, self.shared).map_err(failed)?;
+            opened.push(Listening { kind, listener, address: check_listener.listen, waiting: true });
         }
         Ok(Opened(opened))
     }
@@ -64,7 +65,10 @@
     /// These options are in force from now on.
     pub fn take(&mut self, cx: &mut Cx, options: Option<Health>, opened: Opened) {
         let wanted = |l: &Listening| {
-            options.iter().flat_map(doors).any(|(kind, door)| kind == l.kind && door.listen == l.address)
+            options
+                .iter()
+                .flat_map(check_listeners)
+                .any(|(kind, check_listener)| kind == l.kind && check_listener.listen == l.address)
         };
         let (stay, mut go): (Vec<_>, Vec<_>) = self.listening.drain(..).partition(wanted);
         self.listening = stay;
@@ -113,7 +117,7 @@
 
     /// Some listener that the options want is not open.
     pub fn lacks(&self) -> bool {
-        self.options.as_ref().is_some_and(|o| doors(o).count() > self.listening.len())
+        self.options.as_ref().is_some_and(|o| check_listeners(o).count() > self.listening.len())
     }
 
     /// Nobody is to be accepted before this time.
@@ -121,7 +125,7 @@
         self.from = from;
     }
 
-    pub fn knock(&mut self, source: Source) {
+    pub fn accept_ready(&mut self, source: Source) {
         self.listening.iter_mut().filter(|l| l.kind.source() == source).for_each(|l| l.waiting = true);
     }
 
@@ -150,7 +154,9 @@
         }
     }
 
-    pub(super) fn door(&self, kind: Kind) -> Option<&Door> {
-        doors(self.options.as_ref()?).find(|(k, _)| *k == kind).map(|(_, door)| door)
+    pub(super) fn check_listener(&self, kind: Kind) -> Option<&CheckListener> {
+        check_listeners(self.options.as_ref()?)
+            .find(|(k, _)| *k == kind)
+            .map(|(_, check_listener)| check_listener)
     }
 }
--- a/proxy/src/net/checks/mod.rs
+++ b/proxy/src/net/checks/mod.rs
@@ -4,7 +4,7 @@
 //! It moves bytes between sockets and the machines of the health crate. What is told is the monitor's verdict; this
 //! decides only who may stay connected.
 
-mod doors;
+mod listeners;
 mod serve;
 
 use super::Due;
@@ -16,7 +16,7 @@
 use birchreach::Micros;
 use birchreach_health::{agent, http};
 use birchreach_options::Health;
-use doors::{Listening, doors};
+use listeners::{Listening, check_listeners};
 use mio::Interest;
 use mio::net::TcpStream;
 use serve::{Serve, say, serve_agent, serve_grpc, serve_http};
@@ -37,9 +37,9 @@
 impl Kind {
     fn source(self) -> Source {
         match self {
-            Kind::Http => Source::HttpDoor,
-            Kind::Agent => Source::AgentDoor,
-            Kind::Grpc => Source::GrpcDoor,
+            Kind::Http => Source::HttpListener,
+            Kind::Agent => Source::AgentListener,
+            Kind::Grpc => Source::GrpcListener,
         }
     }
 
@@ -112,7 +112,9 @@
     }
 
     fn admit(&mut self, cx: &mut Cx, mut stream: TcpStream, kind: Kind) {
-        let Some(most) = self.door(kind).map(|door| door.callers) else { return };
+        let Some(most) = self.check_listener(kind).map(|check_listener| check_listener.callers) else {
+            return;
+        };
         let of_kind = || self.slots.iter().filter(|(_, c)| c.kind == kind);
         if of_kind().count() >= most {
             // The one that has been still for longest makes room.
@@ -187,13 +189,15 @@
             }
         }
         let silent = |c: &Caller| {
-            let door = doors(options).find(|(kind, _)| *kind == c.kind).map_or(0, |(_, door)| door.silent);
+            let check_listener = check_listeners(options)
+                .find(|(kind, _)| *kind == c.kind)
+                .map_or(0, |(_, check_listener)| check_listener.silent);
             let (long, reason) = match &c.machine {
                 Machine::Http(m) if m.calls() > 0 && !m.halfway() && m.out.is_empty() => (idle, "idle"),
                 Machine::Grpc(m) if m.events() > 0 && (m.idle() || m.watches()) && !m.has_out() => {
                     (grpc_idle, "idle")
                 }
-                _ => (door, "silent"),
+                _ => (check_listener, "silent"),
             };
             (cx.now - c.active >= long).then_some(reason)
         };
--- a/proxy/src/net/clients/client.rs
+++ b/proxy/src/net/clients/client.rs
@@ -9,7 +9,7 @@
 
 /// A newcomer's first bytes are on their way for so long: until then it makes room for nobody who came later.
 const GRACE: Micros = 300_000;
-pub(super) const JUST_CAME: u8 = 3;
+pub(super) const NEWCOMER: u8 = 3;
 
 pub(super) struct Client {
     pub stream: TcpStream,
@@ -20,13 +20,13 @@
     pub passing: Option<(Attempt, bool)>,
     pub served: u64,
     /// It has made no request yet: it may be a balancer that only looks whether the process lives.
-    pub guest: bool,
+    pub unclassified: bool,
     /// It has closed its connection: what it sent before is owed no answer.
     pub ended: bool,
     /// There is more to read or write than one turn takes.
     pub unread: bool,
     /// To be closed, and how: at once, or after the client had its time to hear why.
-    pub closing: Option<(&'static str, Parting)>,
+    pub closing: Option<(&'static str, CloseMode)>,
     pub active: Micros,
     /// It was answered after the handover began: its end follows the answer.
     pub last: bool,
@@ -35,13 +35,13 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Parting {
-    AtOnce,
+pub(super) enum CloseMode {
+    Immediate,
     /// It is told why; nothing more is owed then, but closing on unread input would break the connection
     /// before it has read that.
-    Told,
+    AfterFlush,
     /// All is written: until this time, and this much input, it may go on sending what nobody keeps.
-    Lingers {
+    Draining {
         until: Micros,
         spare: usize,
     },
@@ -49,13 +49,13 @@
 
 impl Client {
     /// Nothing was asked on it that is not answered.
-    pub fn spareable(&self) -> bool {
+    pub fn can_be_shed(&self) -> bool {
         let idle = self.machine.idle() || self.machine.starting();
-        self.lingers() || (self.request.is_none() && self.closing.is_none() && idle)
+        self.draining() || (self.request.is_none() && self.closing.is_none() && idle)
     }
 
-    pub fn lingers(&self) -> bool {
-        matches!(self.closing, Some((_, Parting::Lingers { .. })))
+    pub fn draining(&self) -> bool {
+        matches!(self.closing, Some((_, CloseMode::Draining { .. })))
     }
 
     /// Who makes room first: those that have been told goodbye; those that had time for a request and
@@ -64,9 +64,9 @@
     pub fn rank(&self, now: Micros) -> (u8, Micros) {
         let since = self.unfinished.unwrap_or(self.active);
         let class = match self.served {
-            _ if self.lingers() => 0,
+            _ if self.draining() => 0,
             0 if self.machine.asked() || now - since >= GRACE => 1,
-            0 => JUST_CAME,
+            0 => NEWCOMER,
             _ => 2,
         };
         (class, since)
--- a/proxy/src/net/clients/converse.rs
+++ b/proxy/src/net/clients/converse.rs
@@ -4,9 +4,9 @@
 use super::super::pool::Work;
 use super::super::stream::{self, Ended};
 use super::Clients;
-use super::client::{Client, Parting};
+use super::client::{Client, CloseMode};
 use crate::core::Ask;
-use crate::pg::frontend::Wish;
+use crate::pg::frontend::ClientCommand;
 use crate::pg::sqlstate;
 use crate::pg::statement::Statement;
 use birchreach::Micros;
@@ -21,12 +21,12 @@
 const SPARE_INPUT: usize = 1 << 20;
 
 /// What tells whether a statement is taken, and as what.
-pub(super) struct Desk {
+pub(super) struct Admission {
     /// The ids of open requests, of all clients.
     pub ids: HashSet<Box<[u8]>>,
 }
 
-impl Desk {
+impl Admission {
     pub fn ask(
         &mut self,
         cx: &Cx,
@@ -49,14 +49,14 @@
 impl Clients {
     pub(super) fn go(&mut self, cx: &mut Cx, key: usize) {
         let Some(c) = self.slots.get_mut(key) else { return };
-        let over = Self::serve(cx, &mut self.desk, key, c);
-        let settles = c.guest && c.request.is_some();
-        c.guest &= !settles;
+        let over = Self::serve(cx, &mut self.admission, key, c);
+        let settles = c.unclassified && c.request.is_some();
+        c.unclassified &= !settles;
         if let Some((attempt, fed @ true)) = &mut c.passing
             && c.machine.out.pending().is_empty()
         {
             *fed = false;
-            self.thirsty.push(*attempt);
+            self.wants_data.push(*attempt);
         }
         match over {
             Some(reason) => self.close(cx, key, reason),
@@ -68,24 +68,24 @@
             None => {}
         }
         if settles {
-            self.guests -= 1;
-            if self.hosts > 0 {
+            self.unclassified -= 1;
+            if self.unclassified_allowance > 0 {
                 self.room(cx, Some(key));
             }
         }
     }
 
     /// The reason, if the connection is over.
-    fn serve(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) -> Option<&'static str> {
+    fn serve(cx: &mut Cx, admission: &mut Admission, key: usize, c: &mut Client) -> Option<&'static str> {
         // A client that sends without end gets its turn like all others.
         c.unread = false;
-        let over = if c.lingers() { Self::linger(cx, c) } else { Self::converse(cx, desk, key, c) };
+        let over = if c.draining() { Self::linger(cx, c) } else { Self::converse(cx, admission, key, c) };
         let halfway = c.request.is_none() && c.machine.unfinished();
         c.unfinished = halfway.then(|| c.unfinished.unwrap_or(cx.now));
         over
     }
 
-    fn converse(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) -> Option<&'static str> {
+    fn converse(cx: &mut Cx, admission: &mut Admission, key: usize, c: &mut Client) -> Option<&'static str> {
         for _ in 0..ROUNDS {
             let hungry = c.closing.is_none() && c.machine.hungry();
             if c.ended && !hungry {
@@ -115,7 +115,7 @@
                     return Some(c.closing.map_or(reason, |(reason, _)| reason));
                 }
             };
-            Self::run(cx, desk, key, c);
+            Self::run(cx, admission, key, c);
             let waiting = c.machine.out.pending().len();
             let written = stream::write(&mut c.stream, &mut c.machine.out);
             if read > 0 || c.machine.out.pending().len() < waiting {
@@ -128,17 +128,17 @@
             }
             match c.closing {
                 None => {}
-                Some((reason, Parting::Told)) => {
+                Some((reason, CloseMode::AfterFlush)) => {
                     let _ = c.stream.shutdown(Shutdown::Write);
                     let (until, spare) = (cx.now + LINGER, SPARE_INPUT);
-                    c.closing = Some((reason, Parting::Lingers { until, spare }));
+                    c.closing = Some((reason, CloseMode::Draining { until, spare }));
                     return Self::linger(cx, c);
                 }
                 Some((reason, _)) => return Some(reason),
             }
             // Room again: what was held back for a slow reader goes on. Input that was not read to its
             // end must be asked for now, for the socket does not tell of it twice.
-            Self::run(cx, desk, key, c);
+            Self::run(cx, admission, key, c);
             let more = !hungry || !drained;
             let held_back = c.closing.is_some() || !c.machine.out.pending().is_empty();
             let unread = more && c.machine.hungry();
@@ -153,7 +153,7 @@
 
     /// Passes over what still comes from one that has been told why it is closed.
     fn linger(cx: &mut Cx, c: &mut Client) -> Option<&'static str> {
-        let Some((reason, Parting::Lingers { spare, .. })) = &mut c.closing else { return None };
+        let Some((reason, CloseMode::Draining { spare, .. })) = &mut c.closing else { return None };
         let mut left = (*spare).min(READ_TURN);
         let before = left;
         let drained = stream::read(&mut c.stream, cx.scratch, |bytes| {
@@ -168,20 +168,24 @@
         None
     }
 
-    /// Hands the machine's wishes on, until one has to be waited for.
-    fn run(cx: &mut Cx, desk: &mut Desk, key: usize, c: &mut Client) {
+    /// Carries the client's commands out, until one has to be waited for.
+    fn run(cx: &mut Cx, admission: &mut Admission, key: usize, c: &mut Client) {
         while c.request.is_none() && c.closing.is_none() {
             match c.machine.next(cx.now) {
                 None => return,
-                Some(Wish::Close(reason)) => c.closing = Some((reason, Parting::AtOnce)),
-                Some(Wish::Part(reason)) => c.closing = Some((reason, Parting::Told)),
-                Some(Wish::Run(statement, arrived)) => match desk.ask(cx, &statement, arrived) {
-                    Err((code, message)) => c.machine.reject(code, message),
-                    Ok(ask) => {
-                        let work = Work::new(statement);
-                        c.request = Some((cx.core.request(cx.now, key, ask, work.clone()), work));
+                Some(ClientCommand::Close(reason)) => c.closing = Some((reason, CloseMode::Immediate)),
+                Some(ClientCommand::CloseWithError(reason)) => {
+                    c.closing = Some((reason, CloseMode::AfterFlush))
+                }
+                Some(ClientCommand::Run(statement, arrived)) => {
+                    match admission.ask(cx, &statement, arrived) {
+                        Err((code, message)) => c.machine.reject(code, message),
+                        Ok(ask) => {
+                            let work = Work::new(statement);
+                            c.request = Some((cx.core.request(cx.now, key, ask, work.clone()), work));
+                        }
                     }
-                },
+                }
             }
         }
     }
--- a/proxy/src/net/clients/mod.rs
+++ b/proxy/src/net/clients/mod.rs
@@ -10,7 +10,7 @@
 use crate::core::{Answer, Attempt};
 use birchreach::RequestId;
 use client::Client;
-use converse::Desk;
+use converse::Admission;
 use mio::net::TcpListener;
 use mio::{Interest, Registry};
 use slab::Slab;
@@ -21,14 +21,14 @@
 pub struct Clients {
     listener: Option<TcpListener>,
     slots: Slab<Client>,
-    desk: Desk,
+    admission: Admission,
     most: usize,
     /// Beyond so many, idle ones make room before all places are taken: clients that keep connections they do
     /// not use have none left to open.
     many: usize,
-    /// So many guests hold no place of a client's; and how many there are.
-    hosts: usize,
-    guests: usize,
+    /// So many unclassified hold no place of a client's; and how many there are.
+    unclassified_allowance: usize,
+    unclassified: usize,
     /// More may wait to be accepted.
     waiting: bool,
     retry_set: bool,
@@ -41,7 +41,7 @@
     /// Clients with more input than one turn takes.
     unread: Vec<usize>,
     /// Long values of which their clients have taken what there was.
-    thirsty: Vec<Attempt>,
+    wants_data: Vec<Attempt>,
     /// A descriptor kept in hand: when the system has none to give, it lets one more client in, and with
     /// that tells whether any waits.
     spare: Option<File>,
@@ -58,18 +58,18 @@
         Ok(Clients {
             listener: Some(listener),
             slots: Slab::new(),
-            desk: Desk { ids: HashSet::new() },
+            admission: Admission { ids: HashSet::new() },
             most,
             many: most * 2 / 5,
-            hosts: 0,
-            guests: 0,
+            unclassified_allowance: 0,
+            unclassified: 0,
             waiting: false,
             retry_set: false,
             leaving: false,
             handing: false,
             learning: false,
             unread: Vec::new(),
-            thirsty: Vec::new(),
+            wants_data: Vec::new(),
             spare: spare(),
         })
     }
@@ -91,7 +91,7 @@
         self.learning = learning;
     }
 
-    pub fn knock(&mut self) {
+    pub fn accept_ready(&mut self) {
         self.waiting = true;
     }
 
@@ -128,8 +128,8 @@
     }
 
     /// A long value that has gone on as far as its client has taken it.
-    pub fn thirsty(&mut self) -> Option<Attempt> {
-        self.thirsty.pop()
+    pub fn wants_data(&mut self) -> Option<Attempt> {
+        self.wants_data.pop()
     }
 
     fn holder(&mut self, key: usize, request: RequestId) -> Option<&mut Client> {
@@ -166,7 +166,7 @@
     pub fn answer(&mut self, cx: &mut Cx, key: usize, request: RequestId, answer: &Answer) {
         let Some(c) = self.slots.get_mut(key) else { return };
         let Some((_, work)) = c.request.take_if(|(id, _)| *id == request) else { return };
-        self.desk.ids.remove(work.id());
+        self.admission.ids.remove(work.id());
         c.served += 1;
         c.last = self.handing;
         c.passing = None;
@@ -178,9 +178,10 @@
     fn close(&mut self, cx: &mut Cx, key: usize, reason: &str) {
         let mut c = self.slots.remove(key);
         let _ = cx.registry.deregister(&mut c.stream);
-        self.guests -= usize::from(c.guest);
-        let looked =
-            self.hosts > 0 && c.guest && matches!(reason, "terminate" | "client-closed" | "client-reset");
+        self.unclassified -= usize::from(c.unclassified);
+        let looked = self.unclassified_allowance > 0
+            && c.unclassified
+            && matches!(reason, "terminate" | "client-closed" | "client-reset");
         if looked {
             // Balancers look in by the hundred; other lines are not to be left out for theirs.
             debug!(conn = "client", peer = %c.peer, answered = c.served, reason);
@@ -188,7 +189,7 @@
             info!(conn = "client", peer = %c.peer, answered = c.served, reason);
         }
         if let Some((request, work)) = c.request {
-            self.desk.ids.remove(work.id());
+            self.admission.ids.remove(work.id());
             cx.core.gone(cx.now, request);
         }
     }
--- a/proxy/src/net/clients/places.rs
+++ b/proxy/src/net/clients/places.rs
@@ -3,7 +3,7 @@
 use super::super::Due;
 use super::super::cx::Cx;
 use super::super::sources::Source;
-use super::client::{Client, JUST_CAME};
+use super::client::{Client, NEWCOMER};
 use super::{Clients, spare};
 use crate::log::Quoted;
 use crate::pg::frontend::Frontend;
@@ -24,26 +24,26 @@
     pub fn limit(&mut self, cx: &mut Cx, most: usize) {
         (self.most, self.many) = (most, most * 2 / 5);
         for _ in self.most..self.occupied() {
-            self.shed(cx, None, JUST_CAME);
+            self.shed(cx, None, NEWCOMER);
         }
     }
 
-    /// So many guests hold no place of a client's, where balancers may look in. Descriptors are kept for them.
-    pub fn host(&mut self, guests: usize) {
-        self.hosts = guests;
+    /// So many unclassified hold no place of a client's, where balancers may look in. Descriptors are kept for them.
+    pub fn host(&mut self, unclassified: usize) {
+        self.unclassified_allowance = unclassified;
     }
 
     /// Places that are taken.
     pub(super) fn occupied(&self) -> usize {
-        self.slots.len() - self.guests.min(self.hosts)
+        self.slots.len() - self.unclassified.min(self.unclassified_allowance)
     }
 
     /// A newcomer takes a place: others make room, after the fact, for only now it is known that someone came.
     pub(super) fn room(&mut self, cx: &mut Cx, newcomer: Option<usize>) {
         if self.occupied() > self.most || self.spare.is_none() {
-            self.shed(cx, newcomer, JUST_CAME);
+            self.shed(cx, newcomer, NEWCOMER);
         } else if self.occupied() > self.many {
-            self.shed(cx, newcomer, JUST_CAME - 1);
+            self.shed(cx, newcomer, NEWCOMER - 1);
         }
     }
 
@@ -57,7 +57,7 @@
             if !self.can_accept() {
                 return;
             }
-            if self.occupied() >= self.most && !self.slots.iter().any(|(_, c)| c.spareable()) {
+            if self.occupied() >= self.most && !self.slots.iter().any(|(_, c)| c.can_be_shed()) {
                 // Nobody can make room: newcomers wait outside.
                 return self.pause(cx);
             }
@@ -74,7 +74,7 @@
                 Err(e) => {
                     // Trying again at once would spin.
                     warn!(event = "accept-failed", error = %Quoted(e));
-                    self.shed(cx, None, JUST_CAME);
+                    self.shed(cx, None, NEWCOMER);
                     self.pause(cx);
                 }
             }
@@ -93,21 +93,21 @@
 
     /// Databases lack descriptors that clients hold.
     pub fn make_room(&mut self, cx: &mut Cx) {
-        self.shed(cx, None, JUST_CAME);
+        self.shed(cx, None, NEWCOMER);
     }
 
     /// Closes the client that makes room first, but not the newcomer, nor one of a higher class.
     fn shed(&mut self, cx: &mut Cx, newcomer: Option<usize>, class: u8) {
         for _ in 0..TURN {
-            let spareable = self.slots.iter().filter(|(k, c)| Some(*k) != newcomer && c.spareable());
-            let ranks = spareable.map(|(k, c)| (c.rank(cx.now), k));
+            let can_be_shed = self.slots.iter().filter(|(k, c)| Some(*k) != newcomer && c.can_be_shed());
+            let ranks = can_be_shed.map(|(k, c)| (c.rank(cx.now), k));
             let first = ranks.filter(|(rank, _)| rank.0 <= class).min();
             let Some((before, key)) = first else { return };
             // What came in meanwhile is read first: a request must not cross with the end.
             self.ready(cx, key);
             match self.slots.get(key) {
                 None => return,
-                Some(c) if c.spareable() && c.rank(cx.now) == before => return self.close(cx, key, "shed"),
+                Some(c) if c.can_be_shed() && c.rank(cx.now) == before => return self.close(cx, key, "shed"),
                 Some(_) => {}
             }
         }
@@ -129,7 +129,7 @@
             request: None,
             passing: None,
             served: 0,
-            guest: true,
+            unclassified: true,
             ended: false,
             unread: false,
             closing: None,
@@ -137,7 +137,7 @@
             last: false,
             unfinished: Some(cx.now),
         });
-        self.guests += 1;
+        self.unclassified += 1;
         Some(key)
     }
 }
--- a/proxy/src/net/clients/times.rs
+++ b/proxy/src/net/clients/times.rs
@@ -2,7 +2,7 @@
 
 use super::super::cx::Cx;
 use super::Clients;
-use super::client::{Client, Parting};
+use super::client::{Client, CloseMode};
 use birchreach::Micros;
 
 /// A client that does not read its answers is closed after this time: every deadline is shorter.
@@ -17,7 +17,7 @@
     /// Why a connection has had its time, if it has.
     fn expired(c: &Client, now: Micros) -> Option<&'static str> {
         match c.closing {
-            Some((reason, Parting::Lingers { until, .. })) => return (now >= until).then_some(reason),
+            Some((reason, CloseMode::Draining { until, .. })) => return (now >= until).then_some(reason),
             Some((reason, _)) => return (now - c.active >= UNFINISHED).then_some(reason),
             // A long value has no deadline, but its client must go on reading.
             None if c.request.is_some() && c.passing.is_none() => return None,
@@ -44,7 +44,7 @@
             match Self::expired(c, cx.now) {
                 Some(reason @ "unfinished") if c.closing.is_none() => {
                     c.machine.time_out();
-                    c.closing = Some((reason, Parting::Told));
+                    c.closing = Some((reason, CloseMode::AfterFlush));
                     c.active = cx.now;
                     self.ready(cx, key);
                 }
--- a/proxy/src/net/due.rs
+++ b/proxy/src/net/due.rs
@@ -63,8 +63,8 @@
         match due {
             Due::Sweep => {
                 let (stopping, held) = (self.stopping, self.clients.len() + self.pool.len());
-                self.with_own(|door, twin, cx| {
-                    door.sweep(cx);
+                self.with_own(|admin, twin, cx| {
+                    admin.sweep(cx);
                     if stopping {
                         twin.leaving(cx, held);
                     }
--- a/proxy/src/net/fleet/mod.rs
+++ b/proxy/src/net/fleet/mod.rs
@@ -8,7 +8,7 @@
 use crate::log::Quoted;
 use crate::observe::Shared;
 use birchreach::Micros;
-use birchreach_fleet::{Change, Fleet, Fresh, Refused, Rumours, State, View};
+use birchreach_fleet::{Change, Fleet, Fresh, GossipReports, Refused, State, View};
 use birchreach_knowledge::datagram::{Datagrams, MOST};
 use mio::net::UdpSocket;
 use mio::{Interest, Registry};
@@ -30,7 +30,7 @@
     listen: SocketAddr,
     registry: Registry,
     machine: Shared<Fleet>,
-    rumours: Rumours,
+    gossip_reports: GossipReports,
     /// Reports that are new here, until their channels take them.
     fresh: Vec<Fresh>,
     datagrams: Datagrams,
@@ -78,7 +78,7 @@
 
     /// What this process tells all others of itself, on a channel.
     pub fn say(&mut self, now: Micros, channel: u8, payload: Vec<u8>) {
-        self.rumours.say(now, channel, payload);
+        self.gossip_reports.say(now, channel, payload);
         self.flush(now);
     }
 
@@ -123,7 +123,7 @@
             Some((&REPORTS, payload)) => {
                 let members = machine.members().count() + 1;
                 let member = |origin| machine.members().any(|m| m.boot == origin);
-                self.rumours.hear(now, members, member, payload).map(|new| self.fresh.extend(new))
+                self.gossip_reports.hear(now, members, member, payload).map(|new| self.fresh.extend(new))
             }
             // Of a later version of the program.
             _ => Err(Refused::Form),
@@ -179,7 +179,7 @@
         }
         let members: Vec<SocketAddr> = self.machine.borrow().members().map(|m| m.at).collect();
         if !self.left
-            && let Some((to, payload)) = self.rumours.due(now, &members)
+            && let Some((to, payload)) = self.gossip_reports.due(now, &members)
         {
             self.send(to, REPORTS, &payload);
         }
@@ -230,7 +230,7 @@
             None => now + AGAIN,
             Some(_) if self.unread => now,
             Some(_) => {
-                self.machine.borrow().next_change().min(self.rumours.next_change(now)).max(now + 1_000)
+                self.machine.borrow().next_change().min(self.gossip_reports.next_change(now)).max(now + 1_000)
             }
         };
         (next < self.armed).then(|| {
--- a/proxy/src/net/fleet/start.rs
+++ b/proxy/src/net/fleet/start.rs
@@ -1,13 +1,13 @@
-//! How the loop comes by the fleet's driver, and how it lends it out: its datagrams, its door for links, and whom it wants to meet.
+//! How the loop comes by the fleet's driver, and how it lends it out: its datagrams, its listener for links, and whom it wants to meet.
 
-use super::super::door::Told;
+use super::super::admin::Told;
 use super::super::gossip::Views;
 use super::super::{Due, Proxy};
 use super::Fellows;
 use crate::fleet::Metrics;
 use crate::observe::shared;
 use birchreach::Micros;
-use birchreach_fleet::{Fleet, Rumours, Settings};
+use birchreach_fleet::{Fleet, GossipReports, Settings};
 use birchreach_knowledge::datagram::Datagrams;
 use std::io::ErrorKind;
 
@@ -43,7 +43,7 @@
             listen: options.listen,
             registry: self.poll.registry().try_clone().map_err(failed)?,
             machine: machine.clone(),
-            rumours: Rumours::new(boot, self.config.seed ^ boot.rotate_left(32)),
+            gossip_reports: GossipReports::new(boot, self.config.seed ^ boot.rotate_left(32)),
             fresh: Vec::new(),
             datagrams: Datagrams::new(keys.clone(), boot),
             metrics: Metrics::new(),
--- a/proxy/src/net/gossip/lessons.rs
+++ b/proxy/src/net/gossip/lessons.rs
@@ -1,10 +1,10 @@
-//! Links over which knowledge of databases travels: their door, and whom this process asks.
+//! Links over which knowledge of databases travels: their listener, and whom this process asks.
 
 use super::super::sources::Source;
 use super::listen;
 use super::talk::nonce;
-use crate::lore::Lore;
 use crate::observe::Shared;
+use crate::peer_knowledge::PeerKnowledge;
 use birchreach::Micros;
 use birchreach_knowledge::donor::Donor;
 use birchreach_knowledge::frame::Keys;
@@ -19,7 +19,7 @@
     listener: Option<TcpListener>,
     keys: Keys,
     /// What is known, which listens to the core.
-    pub(super) lore: Shared<Lore>,
+    pub(super) peer_knowledge: Shared<PeerKnowledge>,
     pub(super) joiner: Joiner,
     pub(super) donor: Donor,
     /// Whom askers are told of besides.
@@ -32,11 +32,11 @@
         registry: &Registry,
         options: &birchreach_options::Knowledge,
         keys: Keys,
-        lore: Shared<Lore>,
+        peer_knowledge: Shared<PeerKnowledge>,
         seed: u64,
         now: Micros,
     ) -> Result<Lessons, String> {
-        let open = |at| listen(registry, at, Source::GossipDoor, "knowledge");
+        let open = |at| listen(registry, at, Source::GossipListener, "knowledge");
         let listener = options.listen.map(open).transpose()?;
         if let Some(at) = listener.as_ref().and_then(|l| l.local_addr().ok()) {
             info!(event = "knowledge-listening", %at);
@@ -45,7 +45,7 @@
         Ok(Lessons {
             listener,
             keys,
-            lore,
+            peer_knowledge,
             named: join.donors.clone(),
             joiner: Joiner::new(join, now),
             donor: Donor::new(options.donor.clone(), now),
--- a/proxy/src/net/gossip/mod.rs
+++ b/proxy/src/net/gossip/mod.rs
@@ -70,7 +70,7 @@
     serial: u64,
 }
 
-/// A door for other proxies.
+/// A listener for other proxies.
 fn listen(registry: &Registry, at: SocketAddr, source: Source, what: &str) -> Result<TcpListener, String> {
     let failed = |e| format!("listening for {what} on {at}: {e}");
     let mut listener = TcpListener::bind(at).map_err(failed)?;
@@ -97,9 +97,9 @@
         self.lessons.as_ref().is_none_or(|lessons| lessons.joiner.ready())
     }
 
-    pub fn knock(&mut self, source: Source) {
+    pub fn accept_ready(&mut self, source: Source) {
         match source {
-            Source::ViewDoor => self.views.iter_mut().for_each(|v| v.waiting = true),
+            Source::ViewListener => self.views.iter_mut().for_each(|v| v.waiting = true),
             _ => self.lessons.iter_mut().for_each(|l| l.waiting = true),
         }
     }
--- a/proxy/src/net/gossip/talk.rs
+++ b/proxy/src/net/gossip/talk.rs
@@ -36,7 +36,7 @@
             Ok(None) => return Next::Waits,
             Ok(Some(Heard::Part(told))) => {
                 // The decisions hear of positions; who is said to be a primary is asked.
-                let learnt = lessons.lore.borrow_mut().hear(cx.now, asked_at, &told);
+                let learnt = lessons.peer_knowledge.borrow_mut().hear(cx.now, asked_at, &told);
                 for (uid, report) in learnt.reports {
                     cx.core.proven(cx.now, &uid, report);
                 }
@@ -70,7 +70,7 @@
             Verdict::Busy(wait) => machine.put_off(wait),
             Verdict::Serve => {
                 *serving = true;
-                machine.tell(lessons.lore.borrow().knowledge.tell(cx.now), &lessons.named);
+                machine.tell(lessons.peer_knowledge.borrow().knowledge.tell(cx.now), &lessons.named);
             }
         },
     }
--- a/proxy/src/net/gossip/views.rs
+++ b/proxy/src/net/gossip/views.rs
@@ -1,4 +1,4 @@
-//! Links over which two members of the fleet tell each other all that they know of it. Their door has the number of the datagrams'
+//! Links over which two members of the fleet tell each other all that they know of it. Their listener has the number of the datagrams'
 //! address; what is told and believed is the fleet crate's to say.
 
 use super::super::Due;
@@ -20,7 +20,7 @@
 pub const MOST: usize = 6;
 
 pub struct Views {
-    /// None: another process of this proxy has the door.
+    /// None: another process of this proxy has the listener.
     listener: Option<TcpListener>,
     /// Where others reach this process.
     own: SocketAddr,
@@ -34,11 +34,11 @@
         Views { listener: None, own, keys, machine, waiting: false }
     }
 
-    /// The door is open while this process speaks for the proxy. Where another still has the address, it is tried again with the
+    /// The listener is open while this process speaks for the proxy. Where another still has the address, it is tried again with the
     /// next datagram.
     pub fn speak(&mut self, registry: &Registry, speaks: bool) {
         if speaks && self.listener.is_none() {
-            self.listener = listen(registry, self.own, Source::ViewDoor, "the fleet").ok();
+            self.listener = listen(registry, self.own, Source::ViewListener, "the fleet").ok();
             self.waiting = true;
         } else if !speaks && let Some(mut listener) = self.listener.take() {
             let _ = registry.deregister(&mut listener);
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -1,13 +1,13 @@
 //! The loop: sockets that are ready feed the machines, due timers fire, what the core commands is
 //! done, and what waits is written. One thread, one clock.
 
+mod admin;
 mod agent;
 mod background;
 mod balancers;
 mod checks;
 mod clients;
 mod cx;
-mod door;
 mod due;
 mod fleet;
 mod gossip;
@@ -25,8 +25,9 @@
 use crate::config::Config;
 use crate::core::Core;
 use crate::discovery::Update;
-use crate::lore::Lore;
 use crate::observe::shared;
+use crate::peer_knowledge::PeerKnowledge;
+use admin::AdminListener;
 use agent::Agent;
 use background::Background;
 use balancers::Balancers;
@@ -34,7 +35,6 @@
 use checks::Checks;
 use clients::Clients;
 use cx::Cx;
-use door::Door;
 pub use due::Due;
 use fleet::Fellows;
 use gossip::{Gossip, Lessons};
@@ -61,7 +61,7 @@
     clients: &'a mut Clients,
     pool: &'a mut Pool,
     agent: &'a mut Agent,
-    door: &'a mut Door,
+    admin: &'a mut AdminListener,
     checks: &'a mut Checks,
     twin: &'a mut Twin,
 }
@@ -76,7 +76,7 @@
     clients: Clients,
     pool: Pool,
     agent: Agent,
-    door: Door,
+    admin: AdminListener,
     checks: Checks,
     gossip: Option<Gossip>,
     fellows: Option<Fellows>,
@@ -106,7 +106,7 @@
     let now = clock.now();
     let listener = listener::open(config.listen, config.inherited)?;
     let listen = listener.local_addr().map_err(|e| format!("the listener: {e}"))?;
-    let door = Door::new(poll.registry(), config.operator)?;
+    let admin = AdminListener::new(poll.registry(), config.operator)?;
     // Only one that shares its listener can have another process beside it.
     let shared = config.inherited.is_some();
     let twin = if shared { Twin::meet(poll.registry(), listen) } else { Twin::default() };
@@ -128,7 +128,7 @@
             &config.site.module,
             config.seed,
         ),
-        door,
+        admin,
         checks: Checks::new(shared),
         gossip: None,
         fellows: None,
@@ -144,7 +144,7 @@
         poll,
     };
     let Config { name, discovery, .. } = &proxy.config;
-    let operator = proxy.door.address().map(tracing::field::display);
+    let operator = proxy.admin.address().map(tracing::field::display);
     info!(event = "started", name, %listen, %discovery, operator);
     tell_doubts(&proxy.config);
     proxy.start_health()?;
@@ -156,7 +156,7 @@
     }
     proxy.with_gossip(Gossip::step);
     if proxy.twin.processes() > 1 {
-        info!(event = "elder-met");
+        info!(event = "predecessor-met");
     }
     proxy.share();
     proxy.timers.set(now + SWEEP, Due::Sweep);
@@ -187,7 +187,7 @@
             clients: &mut self.clients,
             pool: &mut self.pool,
             agent: &mut self.agent,
-            door: &mut self.door,
+            admin: &mut self.admin,
             checks: &mut self.checks,
             twin: &mut self.twin,
         };
@@ -199,9 +199,9 @@
         act(parts.clients, parts.pool, parts.agent, &mut cx)
     }
 
-    fn with_own(&mut self, act: impl FnOnce(&mut Door, &mut Twin, &mut Cx)) {
+    fn with_own(&mut self, act: impl FnOnce(&mut AdminListener, &mut Twin, &mut Cx)) {
         let (mut cx, parts) = self.lend();
-        act(parts.door, parts.twin, &mut cx);
+        act(parts.admin, parts.twin, &mut cx);
     }
 
     fn with_gossip(&mut self, act: impl FnOnce(&mut Gossip, &mut Cx)) {
@@ -221,10 +221,10 @@
         // Each process is an observer of its own: what the one before told is hearsay.
         let mut observer = [0; 8];
         getrandom::fill(&mut observer).map_err(|e| format!("no random numbers: {e}"))?;
-        let lore = shared(Lore::new(u64::from_be_bytes(observer)));
-        self.core.observe(self.now, lore.clone());
+        let peer_knowledge = shared(PeerKnowledge::new(u64::from_be_bytes(observer)));
+        self.core.observe(self.now, peer_knowledge.clone());
         let (keys, seed) = (keys.clone(), self.config.seed);
-        let lessons = Lessons::new(self.poll.registry(), options, keys, lore, seed, self.now)?;
+        let lessons = Lessons::new(self.poll.registry(), options, keys, peer_knowledge, seed, self.now)?;
         self.gossip.get_or_insert_default().learn(lessons);
         Ok(())
     }
--- a/proxy/src/net/places.rs
+++ b/proxy/src/net/places.rs
@@ -2,16 +2,16 @@
 //! proxy.
 
 use super::twin::Twin;
-use super::{Proxy, door, gossip};
+use super::{Proxy, admin, gossip};
 use crate::config::Config;
 use birchreach::Micros;
 use birchreach_settings::Site;
 
 /// Descriptors kept for the rest: standard streams, poll, signals, listeners, discovery, operators.
-const OWN_SOCKETS: usize = 16 + door::MOST;
+const OWN_SOCKETS: usize = 16 + admin::MOST;
 /// Fewer would serve nobody; the own ones are seldom all in use.
 const LEAST_PLACES: usize = 8;
-/// Balancers that look in at the clients' door, and ask nothing, hold no place of a client's: so many.
+/// Balancers that look in at the clients' listener, and ask nothing, hold no place of a client's: so many.
 const GUESTS: usize = 16;
 
 /// How many descriptors clients and databases of this process may hold: all but its own; half of that while
@@ -23,11 +23,11 @@
     (free - free / 2, free / 2)
 }
 
-/// Descriptors kept for balancers: their checks, and those that look in at the clients' door.
+/// Descriptors kept for balancers: their checks, and those that look in at the clients' listener.
 pub(super) fn reserve(config: &Config) -> usize {
     let (knowledge, fleet) = (config.options.knowledge.is_some(), config.options.fleet.is_some());
     let links = if knowledge || fleet { gossip::MOST + 1 } else { 0 };
-    // The fleet has a door for links and one for datagrams.
+    // The fleet has a listener for links and one for datagrams.
     config.options.descriptors() + guests(config) + links + 2 * usize::from(fleet)
 }
 
--- a/proxy/src/net/pool/answers.rs
+++ b/proxy/src/net/pool/answers.rs
@@ -165,7 +165,7 @@
             }
             Job::Probe { server } => cx.core.probed(cx.now, server, &reply),
             Job::Check { server } => cx.core.checked(cx.now, server, &reply),
-            Job::Errand(errand) => self.done.push(errand.over(reply)),
+            Job::BackgroundQuery(errand) => self.done.push(errand.over(reply)),
         }
     }
 }
--- a/proxy/src/net/pool/asking.rs
+++ b/proxy/src/net/pool/asking.rs
@@ -2,7 +2,7 @@
 
 use super::super::Due;
 use super::super::cx::Cx;
-use super::{Job, Pool, errands};
+use super::{Job, Pool, background_queries};
 use crate::reply::Reply;
 use birchreach::Ending;
 
@@ -25,11 +25,11 @@
                 }
                 self.attempts.insert(*attempt, key);
             }
-            Job::Errand(errand) => {
+            Job::BackgroundQuery(errand) => {
                 c.machine.errand(errand.text());
                 self.serial += 1;
                 c.turn = self.serial;
-                cx.timers.set(cx.now + errands::PATIENCE, Due::Probe(key, c.turn));
+                cx.timers.set(cx.now + background_queries::PATIENCE, Due::Probe(key, c.turn));
             }
             Job::Probe { .. } | Job::Check { .. } => {
                 c.machine.probe();
--- a/proxy/src/net/pool/background_queries.rs
+++ b/proxy/src/net/pool/background_queries.rs
@@ -1,4 +1,4 @@
-//! Errands: statements that no client waits for, one after the other on one connection, which is one process of a database from the
+//! BackgroundQueries: statements that no client waits for, one after the other on one connection, which is one process of a database from the
 //! first to the last. Whether and where one goes is decided elsewhere; here it runs, and what came back is kept for its owner.
 
 use super::super::cx::Cx;
@@ -10,7 +10,7 @@
 pub(super) const PATIENCE: Micros = 2_000_000;
 
 /// Statements, and what they came to so far.
-pub struct Errand {
+pub struct BackgroundQuery {
     number: u64,
     server: ServerId,
     texts: Vec<Vec<u8>>,
@@ -26,7 +26,7 @@
     pub whole: bool,
 }
 
-impl Errand {
+impl BackgroundQuery {
     pub(super) fn text(&self) -> &[u8] {
         self.texts.get(self.replies.len()).map_or(&[], Vec::as_slice)
     }
@@ -42,14 +42,18 @@
 impl Pool {
     /// Sends statements to a server, in this order.
     pub fn errand(&mut self, cx: &mut Cx, number: u64, server: ServerId, texts: Vec<Vec<u8>>) {
-        self.take_up(cx, server, Job::Errand(Errand { number, server, texts, replies: Vec::new() }));
+        self.take_up(
+            cx,
+            server,
+            Job::BackgroundQuery(BackgroundQuery { number, server, texts, replies: Vec::new() }),
+        );
     }
 
     pub fn has_done(&self) -> bool {
         !self.done.is_empty()
     }
 
-    /// Errands that are over.
+    /// BackgroundQueries that are over.
     pub fn done(&mut self) -> Vec<Done> {
         std::mem::take(&mut self.done)
     }
@@ -63,13 +67,13 @@
         reply: Reply,
     ) -> Option<(Option<Job>, Reply)> {
         match job {
-            Some(Job::Errand(mut errand))
+            Some(Job::BackgroundQuery(mut errand))
                 if reply.ending == Ending::Ok
                     && errand.replies.len() + 1 < errand.texts.len()
                     && self.slots[key].machine.clean() =>
             {
                 errand.replies.push(reply);
-                self.ask(cx, key, Job::Errand(errand));
+                self.ask(cx, key, Job::BackgroundQuery(errand));
                 None
             }
             other => Some((other, reply)),
--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -3,7 +3,7 @@
 
 mod answers;
 mod asking;
-mod errands;
+mod background_queries;
 mod opening;
 mod times;
 
@@ -15,10 +15,10 @@
 use crate::pg::report::ReportForm;
 use crate::pg::statement::Statement;
 use crate::reply::Reply;
+use background_queries::BackgroundQuery;
+pub use background_queries::Done;
 use birchreach::{Micros, Reports, ServerId};
 use birchreach_settings::Site;
-pub use errands::Done;
-use errands::Errand;
 use mio::net::TcpStream;
 use slab::Slab;
 use std::collections::HashMap;
@@ -51,7 +51,7 @@
         server: ServerId,
     },
     /// Work that no client waits for.
-    Errand(Errand),
+    BackgroundQuery(BackgroundQuery),
 }
 
 struct Connection {
@@ -89,7 +89,7 @@
     check_timeout: Micros,
     idle_limit: Micros,
     report: ReportForm,
-    /// Errands that are over.
+    /// BackgroundQueries that are over.
     done: Vec<Done>,
 }
 
--- a/proxy/src/net/pool/times.rs
+++ b/proxy/src/net/pool/times.rs
@@ -51,7 +51,8 @@
 
     pub fn probe_overdue(&mut self, cx: &mut Cx, key: usize, turn: u64) {
         let probing = |c: &Connection| {
-            c.turn == turn && matches!(c.job, Some(Job::Probe { .. } | Job::Check { .. } | Job::Errand(_)))
+            c.turn == turn
+                && matches!(c.job, Some(Job::Probe { .. } | Job::Check { .. } | Job::BackgroundQuery(_)))
         };
         if self.slots.get(key).is_some_and(probing)
             && let Some(job) = self.close(cx, key, "timeout")
--- a/proxy/src/net/sources.rs
+++ b/proxy/src/net/sources.rs
@@ -9,19 +9,19 @@
     Listener,
     Signals,
     Discovery,
-    Door,
+    Admin,
     /// Where the next process meets this one, and the links to the one before and the one after.
-    Heirs,
-    Elder,
-    Heir,
+    Successors,
+    Predecessor,
+    Successor,
     /// The listeners for balancers' checks.
-    HttpDoor,
-    AgentDoor,
-    GrpcDoor,
+    HttpListener,
+    AgentListener,
+    GrpcListener,
     /// The listener for other proxies.
-    GossipDoor,
+    GossipListener,
     /// The listener for members of the fleet.
-    ViewDoor,
+    ViewListener,
     /// Datagrams of other proxies.
     Fleet,
     Client(usize),
@@ -35,8 +35,19 @@
 
 /// Sources of which there is one, by their tokens.
 const SINGLE: [Source; 13] = [
-    Listener, Signals, Discovery, Door, Heirs, Elder, Heir, HttpDoor, AgentDoor, GrpcDoor, GossipDoor,
-    ViewDoor, Fleet,
+    Listener,
+    Signals,
+    Discovery,
+    Admin,
+    Successors,
+    Predecessor,
+    Successor,
+    HttpListener,
+    AgentListener,
+    GrpcListener,
+    GossipListener,
+    ViewListener,
+    Fleet,
 ];
 /// The others take turns behind them: place k of kind n has the token SINGLE + k * SLABS + n.
 const SLABS: [fn(usize) -> Source; 5] = [Client, Database, Operator, Check, Gossip];
@@ -64,7 +75,7 @@
     /// Operators and balancers come before all else, however many others are ready: they are few, and what they ask
     /// matters most when there is much to do.
     pub fn first(self) -> bool {
-        matches!(self, Door | Operator(_) | HttpDoor | AgentDoor | GrpcDoor | Check(_))
+        matches!(self, Admin | Operator(_) | HttpListener | AgentListener | GrpcListener | Check(_))
     }
 }
 
--- a/proxy/src/net/turn.rs
+++ b/proxy/src/net/turn.rs
@@ -17,7 +17,7 @@
 impl Proxy {
     pub(super) fn turn(&mut self, events: &mut Events, signals: &mut Signals) -> Result<(), String> {
         let asleep = self.clock.now();
-        let pressing = self.clients.pressing() || self.door.pressing() || self.checks.pressing(asleep);
+        let pressing = self.clients.pressing() || self.admin.pressing() || self.checks.pressing(asleep);
         let wait = if pressing { Some(std::time::Duration::ZERO) } else { self.timers.wait(asleep) };
         match self.poll.poll(events, wait) {
             Err(e) if e.kind() != ErrorKind::Interrupted => return Err(format!("polling: {e}")),
@@ -27,22 +27,22 @@
         self.health.slept += if pressing { 0 } else { self.now - asleep };
         for event in events.iter() {
             match Source::of(event.token()) {
-                Source::Door => self.door.knock(),
+                Source::Admin => self.admin.accept_ready(),
                 Source::Operator(key) => self.operator(key),
-                source @ (Source::HttpDoor | Source::AgentDoor | Source::GrpcDoor) => {
-                    self.checks.knock(source)
+                source @ (Source::HttpListener | Source::AgentListener | Source::GrpcListener) => {
+                    self.checks.accept_ready(source)
                 }
                 Source::Check(key) => self.with_checks(|checks, cx| checks.ready(cx, key)),
                 _ => {}
             }
         }
-        self.with_own(|door, _, cx| door.accept(cx));
+        self.with_own(|admin, _, cx| admin.accept(cx));
         self.with_checks(Checks::go_on);
         for event in events.iter() {
             match Source::of(event.token()) {
                 source if source.first() => {}
-                source @ (Source::Heirs | Source::Elder | Source::Heir) => self.meet(source),
-                Source::Listener => self.clients.knock(),
+                source @ (Source::Successors | Source::Predecessor | Source::Successor) => self.meet(source),
+                Source::Listener => self.clients.accept_ready(),
                 Source::Signals => {
                     for signal in signals.pending() {
                         match signal {
@@ -57,8 +57,8 @@
                     }
                 }
                 Source::Fleet => self.with_fleet(|fellows, now| fellows.ready(now)),
-                source @ (Source::GossipDoor | Source::ViewDoor) => self.with_gossip(|gossip, cx| {
-                    gossip.knock(source);
+                source @ (Source::GossipListener | Source::ViewListener) => self.with_gossip(|gossip, cx| {
+                    gossip.accept_ready(source);
                     gossip.step(cx);
                 }),
                 Source::Gossip(key) => self.with_gossip(|gossip, cx| gossip.ready_link(cx, key)),
@@ -101,7 +101,7 @@
     /// Another process of this proxy came, spoke or went.
     fn meet(&mut self, source: Source) {
         self.with_own(|_, twin, cx| match source {
-            Source::Heirs => twin.accept(cx),
+            Source::Successors => twin.accept(cx),
             link => twin.ready(cx, link),
         });
         self.share();
@@ -115,10 +115,10 @@
         let (stopping, balanced) = (self.stopping, self.health.watch.is_some());
         let mut maintenance = None;
         let told = self.told();
-        self.with_own(|door, _, cx| {
-            let Some(call) = door.ready(cx, key) else { return };
+        self.with_own(|admin, _, cx| {
+            let Some(call) = admin.ready(cx, key) else { return };
             let figures = cx.core.stats.lines(cx.core.gauges(cx.now));
-            if let Some(caller) = door.caller(key) {
+            if let Some(caller) = admin.caller(key) {
                 match call {
                     Call::Status if stopping => caller.no("stopping"),
                     Call::Status => caller.yes("it takes clients"),
@@ -139,7 +139,7 @@
                     }
                 }
             }
-            door.write(cx, key);
+            admin.write(cx, key);
         });
         if let Some(on) = maintenance {
             self.tell_balancers(Fact::Maintenance(on));
@@ -151,7 +151,7 @@
         loop {
             let Some(command) = self.core.next() else {
                 // Clients that have taken what there was of a long value get more of it.
-                let Some(attempt) = self.clients.thirsty() else { return };
+                let Some(attempt) = self.clients.wants_data() else { return };
                 self.with(|_, pool, _, cx| pool.more(cx, attempt));
                 continue;
             };
--- a/proxy/src/net/twin.rs
+++ b/proxy/src/net/twin.rs
@@ -18,7 +18,7 @@
     machine: Peer,
     /// It takes clients, or was told to stop and holds so much.
     word: Option<Word>,
-    /// When the elder takes no new work any more, on the system's clock.
+    /// When the predecessor takes no new work any more, on the system's clock.
     yields: Option<i64>,
 }
 
@@ -26,8 +26,8 @@
 pub struct Twin {
     path: Option<PathBuf>,
     listener: Option<UnixListener>,
-    elder: Option<Link>,
-    heir: Option<Link>,
+    predecessor: Option<Link>,
+    successor: Option<Link>,
 }
 
 impl Twin {
@@ -39,12 +39,12 @@
         // Refused, or not there: nobody serves, whatever file was left behind.
         if let Ok(mut stream) = UnixStream::connect(&path)
             && registry
-                .register(&mut stream, Source::Elder.token(), Interest::READABLE | Interest::WRITABLE)
+                .register(&mut stream, Source::Predecessor.token(), Interest::READABLE | Interest::WRITABLE)
                 .is_ok()
         {
             let mut machine = Peer::default();
             machine.say(Word::Serving);
-            twin.elder = Some(Link { stream, machine, word: None, yields: None });
+            twin.predecessor = Some(Link { stream, machine, word: None, yields: None });
         }
         twin.listen(registry);
         twin
@@ -55,7 +55,7 @@
         let Some(path) = &self.path else { return };
         let _ = std::fs::remove_file(path);
         let bound = UnixListener::bind(path).and_then(|mut listener| {
-            registry.register(&mut listener, Source::Heirs.token(), Interest::READABLE)?;
+            registry.register(&mut listener, Source::Successors.token(), Interest::READABLE)?;
             Ok(listener)
         });
         match bound {
@@ -66,27 +66,27 @@
         }
     }
 
-    /// Someone came: the newest is the heir.
+    /// Someone came: the newest is the successor.
     pub fn accept(&mut self, cx: &mut Cx) {
         while let Some(Ok((mut stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
-            if let Some(mut old) = self.heir.take() {
+            if let Some(mut old) = self.successor.take() {
                 let _ = cx.registry.deregister(&mut old.stream);
             }
             if cx
                 .registry
-                .register(&mut stream, Source::Heir.token(), Interest::READABLE | Interest::WRITABLE)
+                .register(&mut stream, Source::Successor.token(), Interest::READABLE | Interest::WRITABLE)
                 .is_ok()
             {
-                self.heir = Some(Link { stream, machine: Peer::default(), word: None, yields: None });
-                info!(event = "heir-met");
+                self.successor = Some(Link { stream, machine: Peer::default(), word: None, yields: None });
+                info!(event = "successor-met");
             }
         }
     }
 
     /// Reads and writes one of the links.
     pub fn ready(&mut self, cx: &mut Cx, link: Source) {
-        let elder = link == Source::Elder;
-        let slot = if elder { &mut self.elder } else { &mut self.heir };
+        let predecessor = link == Source::Predecessor;
+        let slot = if predecessor { &mut self.predecessor } else { &mut self.successor };
         let Some(link) = slot else { return };
         let machine = &mut link.machine;
         let read = stream::read(&mut link.stream, cx.scratch, |bytes| {
@@ -105,52 +105,52 @@
         if read.is_err() || written.is_err() || !sound {
             let _ = cx.registry.deregister(&mut link.stream);
             *slot = None;
-            info!(event = if elder { "elder-gone" } else { "heir-gone" });
-            if !elder {
+            info!(event = if predecessor { "predecessor-gone" } else { "successor-gone" });
+            if !predecessor {
                 // It had taken the meeting place too.
                 self.listen(cx.registry);
             }
         }
     }
 
-    /// Tells the heir how much this process still holds.
+    /// Tells the successor how much this process still holds.
     pub fn leaving(&mut self, cx: &mut Cx, held: usize) {
-        if let Some(heir) = &mut self.heir {
-            heir.machine.say(Word::Leaving(held));
-            self.ready(cx, Source::Heir);
+        if let Some(successor) = &mut self.successor {
+            successor.machine.say(Word::Leaving(held));
+            self.ready(cx, Source::Successor);
         }
     }
 
-    /// Tells the heir when this process takes no new work any more, on the system's clock.
+    /// Tells the successor when this process takes no new work any more, on the system's clock.
     pub fn yields(&mut self, cx: &mut Cx, unix: i64) {
-        if let Some(heir) = &mut self.heir {
-            heir.machine.say(Word::Yields(unix));
-            self.ready(cx, Source::Heir);
+        if let Some(successor) = &mut self.successor {
+            successor.machine.say(Word::Yields(unix));
+            self.ready(cx, Source::Successor);
         }
     }
 
-    /// What the elder said of that.
-    pub fn elder_yields(&self) -> Option<i64> {
-        self.elder.as_ref()?.yields
+    /// What the predecessor said of that.
+    pub fn predecessor_yields(&self) -> Option<i64> {
+        self.predecessor.as_ref()?.yields
     }
 
-    pub fn has_elder(&self) -> bool {
-        self.elder.is_some()
+    pub fn has_predecessor(&self) -> bool {
+        self.predecessor.is_some()
     }
 
     /// Another process takes the clients now.
     pub fn replaced(&self) -> bool {
-        self.heir.as_ref().is_some_and(|heir| heir.word == Some(Word::Serving))
+        self.successor.as_ref().is_some_and(|successor| successor.word == Some(Word::Serving))
     }
 
     /// How many processes there are, this one among them.
     pub fn processes(&self) -> u32 {
-        1 + u32::from(self.elder.is_some()) + u32::from(self.heir.is_some())
+        1 + u32::from(self.predecessor.is_some()) + u32::from(self.successor.is_some())
     }
 
-    /// What the elder, told to stop, still holds; it opens nothing beyond that.
+    /// What the predecessor, told to stop, still holds; it opens nothing beyond that.
     pub fn left_over(&self) -> Option<usize> {
-        match self.elder.as_ref()?.word {
+        match self.predecessor.as_ref()?.word {
             Some(Word::Leaving(held)) => Some(held),
             _ => None,
         }
--- a/proxy/src/observe.rs
+++ b/proxy/src/observe.rs
@@ -9,7 +9,7 @@
 
 /// Something that happened.
 #[derive(Clone, Copy, Debug)]
-pub enum Seen<'a> {
+pub enum CoreEvent<'a> {
     /// The list has a server, or says something else of it. `primary`: what it says of its role, if it does.
     Listed { server: ServerId, uid: &'a str, group: GroupId, primary: Option<bool>, up: bool, boot_ms: u64 },
     /// The list has it no more.
@@ -36,7 +36,7 @@
 
 /// Whoever listens.
 pub trait Observer {
-    fn see(&mut self, now: Micros, seen: Seen<'_>);
+    fn see(&mut self, now: Micros, seen: CoreEvent<'_>);
 }
 
 /// A read that has come, as an adviser sees it.
@@ -79,7 +79,7 @@
         !self.0.is_empty()
     }
 
-    pub fn tell(&self, now: Micros, seen: Seen) {
+    pub fn tell(&self, now: Micros, seen: CoreEvent) {
         for observer in &self.0 {
             observer.borrow_mut().see(now, seen);
         }
@@ -94,7 +94,7 @@
     struct Ear(Vec<Micros>);
 
     impl Observer for Ear {
-        fn see(&mut self, now: Micros, _: Seen<'_>) {
+        fn see(&mut self, now: Micros, _: CoreEvent<'_>) {
             self.0.push(now);
         }
     }
@@ -103,12 +103,12 @@
     fn all_that_listen_hear_and_who_left_does_not() {
         let (a, b) = (shared(Ear::default()), shared(Ear::default()));
         let mut all = Observers::default();
-        all.tell(1, Seen::Discovery);
+        all.tell(1, CoreEvent::Discovery);
         all.add(a.clone());
         all.add(b.clone());
-        all.tell(2, Seen::Discovery);
+        all.tell(2, CoreEvent::Discovery);
         all.remove(&(a.clone() as Rc<RefCell<dyn Observer>>));
-        all.tell(3, Seen::Discovery);
+        all.tell(3, CoreEvent::Discovery);
         assert_eq!((a.borrow().0.clone(), b.borrow().0.clone()), (vec![2], vec![2, 3]));
     }
 }
--- a/proxy/src/peer_knowledge.rs
+++ b/proxy/src/peer_knowledge.rs
@@ -2,7 +2,7 @@
 //! that the decisions may hear of it. It owns the translation; what a fact may be used for is the crate's to say, and no
 //! write is sent because of one.
 
-use crate::observe::{Observer, Seen};
+use crate::observe::{CoreEvent, Observer};
 use crate::reply::Reply;
 use birchreach::{Micros, Report};
 use birchreach_knowledge::{Knowledge, Listed, Role, Source, Told, advice};
@@ -14,7 +14,7 @@
 /// A sighting that is trusted less than this leads nobody, not even a probe.
 const LEAST_TRUST: f64 = 0.05;
 
-pub struct Lore {
+pub struct PeerKnowledge {
     pub knowledge: Knowledge,
     /// Positions that the decisions have been told.
     told: HashMap<String, Micros>,
@@ -28,9 +28,9 @@
     pub ask: Vec<String>,
 }
 
-impl Lore {
-    pub fn new(observer: u64) -> Lore {
-        Lore { knowledge: Knowledge::new(observer), told: HashMap::new() }
+impl PeerKnowledge {
+    pub fn new(observer: u64) -> PeerKnowledge {
+        PeerKnowledge { knowledge: Knowledge::new(observer), told: HashMap::new() }
     }
 
     /// What a server said of itself, with an answer or a report.
@@ -86,15 +86,15 @@
     }
 }
 
-impl Observer for Lore {
-    fn see(&mut self, now: Micros, seen: Seen<'_>) {
+impl Observer for PeerKnowledge {
+    fn see(&mut self, now: Micros, seen: CoreEvent<'_>) {
         match seen {
             // Facts are kept of the servers that the list names, and of their present boots alone.
-            Seen::Listed { uid, group, boot_ms, .. } => {
+            CoreEvent::Listed { uid, group, boot_ms, .. } => {
                 self.knowledge.listed(uid, Listed { boot_ms, group: group.0 });
             }
-            Seen::Unlisted { uid, .. } => self.knowledge.unlisted(uid),
-            Seen::Ended { uid, reply, .. } => self.saw(now, uid, reply),
+            CoreEvent::Unlisted { uid, .. } => self.knowledge.unlisted(uid),
+            CoreEvent::Ended { uid, reply, .. } => self.saw(now, uid, reply),
             _ => {}
         }
     }
@@ -113,16 +113,16 @@
 
     #[test]
     fn young_positions_are_handed_on_once_and_old_ones_never() {
-        let listed = |lore: &mut Lore| {
-            lore.knowledge.listed("p", Listed { boot_ms: 0, group: 0 });
-            lore.knowledge.listed("r", Listed { boot_ms: 0, group: 0 });
+        let listed = |peer_knowledge: &mut PeerKnowledge| {
+            peer_knowledge.knowledge.listed("p", Listed { boot_ms: 0, group: 0 });
+            peer_knowledge.knowledge.listed("r", Listed { boot_ms: 0, group: 0 });
         };
-        let mut donor = Lore::new(1);
+        let mut donor = PeerKnowledge::new(1);
         listed(&mut donor);
         donor.knowledge.saw_role(10_000_000, "p", Role::Primary, Source::Served);
         donor.knowledge.saw_position(10_000_000, "r", 9_900_000, 100_000, Source::Note);
         let told = |at| Told { servers: donor.knowledge.tell(at).collect() };
-        let mut newcomer = Lore::new(2);
+        let mut newcomer = PeerKnowledge::new(2);
         listed(&mut newcomer);
         let learnt = newcomer.hear(11_000_000, 11_000_000, &told(11_000_000));
         let report = Report { position: Some(9_900_000), role: None };
@@ -132,7 +132,7 @@
         // What it has seen of the primary itself, it does not ask.
         newcomer.knowledge.saw_role(11_200_000, "p", Role::Primary, Source::Note);
         assert!(newcomer.hear(11_300_000, 11_300_000, &told(11_300_000)).ask.is_empty());
-        let mut late = Lore::new(3);
+        let mut late = PeerKnowledge::new(3);
         listed(&mut late);
         let learnt = late.hear(70_000_000, 70_000_000, &told(70_000_000));
         assert!(learnt.reports.is_empty() && learnt.ask.is_empty(), "a minute old, it leads nobody");
--- a/proxy/src/pg/backend.rs
+++ b/proxy/src/pg/backend.rs
@@ -18,7 +18,7 @@
     Request,
     Probe,
     /// A statement that no client sent.
-    Errand,
+    BackgroundQuery,
     Over,
 }
 
@@ -79,7 +79,7 @@
     /// Sends a statement of our own.
     pub fn errand(&mut self, text: &[u8]) {
         self.out.query(&[text]);
-        (self.phase, self.partial, self.copy) = (Phase::Errand, Partial::default(), None);
+        (self.phase, self.partial, self.copy) = (Phase::BackgroundQuery, Partial::default(), None);
     }
 
     /// Asks the database for its report.
@@ -142,14 +142,14 @@
         let whole = self.partial.part == Part::Whole;
         match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Request if whole => Some(Heard::Done(self.reply(false))),
-            Phase::Errand if whole => Some(Heard::Done(self.reply(false))),
+            Phase::BackgroundQuery if whole => Some(Heard::Done(self.reply(false))),
             Phase::Probe if whole => Some(Heard::Done(self.reply(true))),
             _ => None,
         }
     }
 
     fn hear(&mut self, message: FromServer, bytes: usize) -> Result<Option<Heard>, Malformed> {
-        let asked = matches!(self.phase, Phase::Request | Phase::Probe | Phase::Errand);
+        let asked = matches!(self.phase, Phase::Request | Phase::Probe | Phase::BackgroundQuery);
         self.partial.bytes += bytes;
         if self.partial.bytes > 2 * MAX_REPLY {
             return Err(Malformed::TooLong);
@@ -185,7 +185,7 @@
             }
             FromServer::CommandComplete if part == Part::Row => self.partial.part = Part::Whole,
             // No row, or a statement that has none.
-            FromServer::CommandComplete if self.phase == Phase::Errand && part != Part::Whole => {
+            FromServer::CommandComplete if self.phase == Phase::BackgroundQuery && part != Part::Whole => {
                 self.partial.part = Part::Whole;
             }
             FromServer::ReadyForQuery if self.phase == Phase::Startup => {
--- a/proxy/src/pg/frontend.rs
+++ b/proxy/src/pg/frontend/mod.rs
@@ -1,11 +1,13 @@
-//! A client's connection: fed what the client sends, it hands out statements one at a time and
+//! A client's connection: fed what the client sends, it hands out its commands one at a time and
 //! holds what is to be written.
 
+mod commands;
+mod replies;
+
 use super::arrivals::Arrivals;
-use super::codec::{FromClient, Inbox, Malformed, Startup};
+use super::codec::{Inbox, Malformed};
 use super::sqlstate;
 use super::statement::Statement;
-use crate::core::Answer;
 use crate::outbox::Outbox;
 use birchreach::Micros;
 
@@ -33,13 +35,13 @@
 
 /// What the client wants of the program.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Wish {
+pub enum ClientCommand {
     /// Run a statement, whose last byte came at this time.
     Run(Statement, Micros),
     /// Close, for this reason.
     Close(&'static str),
     /// Close once the client has been told why.
-    Part(&'static str),
+    CloseWithError(&'static str),
 }
 
 pub struct Frontend {
@@ -142,8 +144,8 @@
         self.phase == Phase::Startup
     }
 
-    /// The next wish, as far as the input goes; none while an answer is owed.
-    pub fn next(&mut self, now: Micros) -> Option<Wish> {
+    /// The next command, as far as the input goes; none while an answer is owed.
+    pub fn next(&mut self, now: Micros) -> Option<ClientCommand> {
         while !self.clogged() && self.turn > 0 {
             let step = match self.phase {
                 Phase::Startup => self.startup(now),
@@ -151,7 +153,7 @@
                 Phase::Busy { .. } | Phase::Over => return None,
             };
             match step {
-                Ok(Step::Wish(wish)) => return Some(wish),
+                Ok(Step::Command(wish)) => return Some(wish),
                 Ok(Step::On) => {}
                 Ok(Step::Wait) => {
                     self.waits = true;
@@ -160,11 +162,11 @@
                 }
                 Err(Malformed::TooLong) => {
                     self.fatal(sqlstate::LIMIT_EXCEEDED, "the message is too long");
-                    return Some(Wish::Part("too-long"));
+                    return Some(ClientCommand::CloseWithError("too-long"));
                 }
                 Err(Malformed::Bad(what)) => {
                     self.fatal(sqlstate::PROTOCOL_VIOLATION, what);
-                    return Some(Wish::Part("malformed"));
+                    return Some(ClientCommand::CloseWithError("malformed"));
                 }
             }
         }
@@ -181,126 +183,10 @@
         let taken = waited.saturating_sub(self.inbox.len());
         self.arrivals.take(taken).unwrap_or(now)
     }
-
-    fn startup(&mut self, now: Micros) -> Result<Step, Malformed> {
-        let waited = self.inbox.len();
-        let message = self.inbox.startup()?;
-        self.arrived(waited, now);
-        match message {
-            None => return Ok(Step::Wait),
-            Some(Startup::Encryption) => self.out.raw(b"N"),
-            Some(Startup::Cancel) => {
-                // Nothing to cancel by key: a client that gives up closes its connection.
-                self.phase = Phase::Over;
-                return Ok(Step::Wish(Wish::Close("cancel-request")));
-            }
-            Some(Startup::Unsupported { .. }) => {
-                let message = "only version 3 of the protocol is spoken here";
-                self.fatal(sqlstate::NOT_SUPPORTED, message);
-                return Ok(Step::Wish(Wish::Part("version")));
-            }
-            Some(Startup::Version3 { minor, options }) => {
-                if minor > 0 || !options.is_empty() {
-                    self.out.negotiate_version(&options);
-                }
-                self.out.authentication_ok();
-                for (name, value) in [
-                    ("server_version", "16.0"),
-                    ("server_encoding", "UTF8"),
-                    ("client_encoding", "UTF8"),
-                    ("DateStyle", "ISO, MDY"),
-                    ("integer_datetimes", "on"),
-                    ("standard_conforming_strings", "on"),
-                ] {
-                    self.out.parameter_status(name, value);
-                }
-                self.out.ready_for_query();
-                self.phase = Phase::Ready;
-            }
-        }
-        Ok(Step::On)
-    }
-
-    fn command(&mut self, now: Micros) -> Result<Step, Malformed> {
-        let waited = self.inbox.len();
-        let message = self.inbox.client_message()?;
-        let arrived = self.arrived(waited, now);
-        let Some(message) = message else {
-            let goes_on = self.inbox.begun().is_none_or(Statement::may_go_on);
-            return if goes_on { Ok(Step::Wait) } else { Err(Malformed::TooLong) };
-        };
-        (self.taken, self.turn, self.waits) = (self.taken + 1, self.turn - 1, false);
-        let skipping = self.phase == Phase::UntilSync;
-        match message {
-            FromClient::Terminate => {
-                self.phase = Phase::Over;
-                return Ok(Step::Wish(Wish::Close("terminate")));
-            }
-            FromClient::Sync => {
-                self.phase = Phase::Ready;
-                self.out.ready_for_query();
-            }
-            _ if skipping => {}
-            FromClient::Flush => {}
-            FromClient::Extended => {
-                self.out.error("ERROR", sqlstate::NOT_SUPPORTED, "only simple queries are taken", None);
-                self.phase = Phase::UntilSync;
-            }
-            FromClient::FunctionCall => self.reject(sqlstate::NOT_SUPPORTED, "function calls are not taken"),
-            FromClient::Query(text) if text.trim_ascii().is_empty() => {
-                self.out.empty_query_response();
-                self.out.ready_for_query();
-            }
-            FromClient::Query(text) => match Statement::parse(text) {
-                Some(statement) => {
-                    self.phase = Phase::Busy { write: statement.write };
-                    return Ok(Step::Wish(Wish::Run(statement, arrived)));
-                }
-                None => self.reject(sqlstate::SYNTAX_ERROR, "not a statement of the form that is taken here"),
-            },
-        }
-        Ok(Step::On)
-    }
-
-    /// Answers the command with an error, and is ready for the next.
-    pub fn reject(&mut self, code: &str, message: &str) {
-        self.out.error("ERROR", code, message, None);
-        self.out.ready_for_query();
-        self.phase = Phase::Ready;
-    }
-
-    /// A value of this length begins.
-    pub fn begin(&mut self, binary: bool, length: usize) {
-        self.out.row_head("blob", binary, length);
-    }
-
-    /// The final answer to the statement that was handed out.
-    pub fn answer(&mut self, answer: &Answer) {
-        let Phase::Busy { write } = self.phase else { return };
-        let tag = if write { "INSERT 0 1" } else { "SELECT 1" };
-        match answer {
-            Answer::Served(value) => {
-                self.begin(value.binary, value.bytes.len());
-                self.out.raw(&value.bytes);
-                self.out.command_complete(tag);
-            }
-            Answer::Passed => self.out.command_complete(tag),
-            Answer::Refused { come_back_ms } => {
-                let detail = come_back_ms.map(|ms| ms.to_string());
-                let message = "not now; nothing ran, or a repeat is harmless";
-                self.out.error("ERROR", sqlstate::TOO_MANY_CONNECTIONS, message, detail.as_deref());
-            }
-            Answer::Failed => {
-                self.out.error("ERROR", sqlstate::SYSTEM_ERROR, "no answer; it may have run", None);
-            }
-        }
-        self.out.ready_for_query();
-        self.phase = Phase::Ready;
-    }
 }
 
 enum Step {
     On,
     Wait,
-    Wish(Wish),
+    Command(ClientCommand),
 }
--- a/proxy/src/pg/tests/waits.rs
+++ b/proxy/src/pg/tests/waits.rs
@@ -1,7 +1,7 @@
 //! A command's time runs from when its last byte came, however long it waited behind others.
 
 use super::super::arrivals::Arrivals;
-use super::super::frontend::{Frontend, Wish};
+use super::super::frontend::{ClientCommand, Frontend};
 use super::super::statement::Statement;
 use crate::core::{Answer, Ask};
 use birchreach::{Class, ClassId, Effect, Micros, Need, Tokens};
@@ -30,7 +30,7 @@
 
 fn run(client: &mut Frontend, now: Micros) -> (Statement, Micros) {
     match client.next(now) {
-        Some(Wish::Run(statement, arrived)) => (statement, arrived),
+        Some(ClientCommand::Run(statement, arrived)) => (statement, arrived),
         other => panic!("{other:?}"),
     }
 }
--- a/proxy/src/split.rs
+++ b/proxy/src/split.rs
@@ -2,7 +2,7 @@
 //! of it. It owns the words; what is compared and what a difference means is the crate's to say.
 
 use crate::net::Done;
-use crate::observe::{Observer, Seen};
+use crate::observe::{CoreEvent, Observer};
 use crate::pg::looks;
 use birchreach::{Micros, Role, ServerId};
 use birchreach_knowledge::Hasher;
@@ -141,14 +141,16 @@
 }
 
 impl Observer for Watch {
-    fn see(&mut self, now: Micros, seen: Seen<'_>) {
+    fn see(&mut self, now: Micros, seen: CoreEvent<'_>) {
         match seen {
-            Seen::Listed { server, uid, boot_ms, .. } => {
+            CoreEvent::Listed { server, uid, boot_ms, .. } => {
                 let process = crate::config::hash(format!("{uid} {boot_ms}").as_bytes());
                 self.processes.insert(server, process);
             }
-            Seen::Unlisted { server, .. } => drop(self.processes.remove(&server)),
-            Seen::Served { group, class, key, value } if group.0 == self.split.settings().definition.from => {
+            CoreEvent::Unlisted { server, .. } => drop(self.processes.remove(&server)),
+            CoreEvent::Served { group, class, key, value }
+                if group.0 == self.split.settings().definition.from =>
+            {
                 let row = Some(self.digest(&value.bytes));
                 self.split.served(now, class.0, key, row);
             }
--- a/proxy/src/stats.rs
+++ b/proxy/src/stats.rs
@@ -1,4 +1,4 @@
-//! What is counted from the start of the process on, and told at the operators' door.
+//! What is counted from the start of the process on, and told at the admin listener.
 
 use std::fmt::Write;
 
--- a/proxy/tests/fleet.rs
+++ b/proxy/tests/fleet.rs
@@ -95,24 +95,24 @@
 fn of_two_processes_of_one_proxy_one_speaks() {
     let fleet = fleet(3, 3);
     let shared = TcpListener::bind((fleet.rig.own(), 0)).unwrap();
-    let mut elder = fleet.start(0, Some(&shared)).unwrap();
+    let mut predecessor = fleet.start(0, Some(&shared)).unwrap();
     let (one, two) = (fleet.start(1, None).unwrap(), fleet.start(2, None).unwrap());
-    settle("join", 3, &[&elder, &one, &two]);
-    let before = word(&elder, "boot=");
-    // The heir comes beside it, under the same name and at the same address: the elder says goodbye, and the heir is there.
-    let heir = fleet.start(0, Some(&shared)).unwrap();
-    heir.line(&["event=fleet-listening"]).expect("the elder gives the address up");
-    settle("handover", 3, &[&heir, &one, &two]);
-    assert_ne!(word(&heir, "boot="), before);
-    // The heir dies instead: the elder is there again, under a new epoch.
-    drop(heir);
-    settle("back", 3, &[&elder, &one, &two]);
-    assert_eq!(word(&elder, "boot="), before);
-    let heir = fleet.start(0, Some(&shared)).unwrap();
-    settle("the next", 3, &[&heir, &one, &two]);
-    elder.signal("TERM");
-    assert_eq!(elder.ended(), Some(0));
-    settle("and on", 3, &[&heir, &one, &two]);
+    settle("join", 3, &[&predecessor, &one, &two]);
+    let before = word(&predecessor, "boot=");
+    // The successor comes beside it, under the same name and at the same address: the predecessor says goodbye, and the successor is there.
+    let successor = fleet.start(0, Some(&shared)).unwrap();
+    successor.line(&["event=fleet-listening"]).expect("the predecessor gives the address up");
+    settle("handover", 3, &[&successor, &one, &two]);
+    assert_ne!(word(&successor, "boot="), before);
+    // The successor dies instead: the predecessor is there again, under a new epoch.
+    drop(successor);
+    settle("back", 3, &[&predecessor, &one, &two]);
+    assert_eq!(word(&predecessor, "boot="), before);
+    let successor = fleet.start(0, Some(&shared)).unwrap();
+    settle("the next", 3, &[&successor, &one, &two]);
+    predecessor.signal("TERM");
+    assert_eq!(predecessor.ended(), Some(0));
+    settle("and on", 3, &[&successor, &one, &two]);
     assert!(
         [&one, &two].iter().all(|p| !p.log().iter().any(|l| l.contains("event=fleet-twins"))),
         "nobody saw two"
--- a/proxy/tests/health.rs
+++ b/proxy/tests/health.rs
@@ -174,14 +174,14 @@
     // Each has addresses of its own, so that both can be asked.
     let free = || (rig.free().unwrap(), rig.free().unwrap());
     let (a, b) = (free(), free());
-    let mut elder = rig.start(1, Some(&Rig::options(a.0, a.1, 64, "")), Some(&shared)).unwrap();
-    until("the elder is up", || agent(&elder, "").up);
-    let heir = rig.start(2, Some(&Rig::options(b.0, b.1, 64, "")), Some(&shared)).unwrap();
+    let mut predecessor = rig.start(1, Some(&Rig::options(a.0, a.1, 64, "")), Some(&shared)).unwrap();
+    until("the predecessor is up", || agent(&predecessor, "").up);
+    let successor = rig.start(2, Some(&Rig::options(b.0, b.1, 64, "")), Some(&shared)).unwrap();
     let ask = |at| check(at, &Check::Agent(String::new()), PATIENCE).is_ok_and(|told| told.up);
     let (start, mut swapped) = (Instant::now(), false);
     let mut certain = 0;
     while start.elapsed() < PATIENCE && (!swapped || certain < 200) {
-        // The elder is asked before and after: where it said the same, that was so in between.
+        // The predecessor is asked before and after: where it said the same, that was so in between.
         let before = ask(a.1);
         let other = ask(b.1);
         if ask(a.1) == before {
@@ -198,12 +198,12 @@
     }
     assert!(swapped && certain > 10, "{swapped}, {certain}");
     // One that dies gives the place back.
-    drop(heir);
-    until("the elder is up again", || ask(a.1));
-    let heir = rig.start(3, Some(&Rig::options(a.0, a.1, 64, "")), Some(&shared)).unwrap();
-    until("the next answers at the same address", || heir.checks("agent").is_some() && ask(a.1));
-    elder.signal("TERM");
-    assert_eq!(elder.ended(), Some(0));
+    drop(successor);
+    until("the predecessor is up again", || ask(a.1));
+    let successor = rig.start(3, Some(&Rig::options(a.0, a.1, 64, "")), Some(&shared)).unwrap();
+    until("the next answers at the same address", || successor.checks("agent").is_some() && ask(a.1));
+    predecessor.signal("TERM");
+    assert_eq!(predecessor.ended(), Some(0));
     assert!(ask(a.1));
 }
 
--- a/split/tests/model.rs
+++ b/split/tests/model.rs
@@ -23,7 +23,7 @@
     },
     Looked(usize, Look),
     /// Told the parent's position; what is read of it comes next.
-    Seen(usize, Look, usize),
+    CoreEvent(usize, Look, usize),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -95,7 +95,7 @@
             Stage::Low { .. } => all.push(Step::Read),
             Stage::Row { .. } => all.push(Step::Told),
             Stage::Looked(..) => all.push(Step::Ask),
-            Stage::Seen(..) => all.push(Step::Answer),
+            Stage::CoreEvent(..) => all.push(Step::Answer),
         }
     }
 
@@ -115,8 +115,8 @@
                 let look = Look { row: Some(row), low: low as i64, high: s.applied[child] as i64 };
                 s.stage = Stage::Looked(child, look);
             }
-            (Step::Ask, Stage::Looked(child, look)) => s.stage = Stage::Seen(child, look, s.parent),
-            (Step::Answer, Stage::Seen(child, look, seen)) => {
+            (Step::Ask, Stage::Looked(child, look)) => s.stage = Stage::CoreEvent(child, look, s.parent),
+            (Step::Answer, Stage::CoreEvent(child, look, seen)) => {
                 let at = s.parent as i64;
                 let parent = Parent { row: s.log.get(s.parent).copied(), since: at, seen: seen as i64 };
                 let how = outcome(parent, look);
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -1,4 +1,4 @@
-//! A fleet of processes of the program that know of one another, with a relay before each, and what their doors say of it.
+//! A fleet of processes of the program that know of one another, with a relay before each, and what their listeners say of it.
 
 use crate::process::{PATIENCE, Process};
 use crate::relay::Relays;
@@ -45,7 +45,7 @@
     }
 }
 
-/// What the operators' door of a process answers; empty if it does not.
+/// What the admin listener of a process answers; empty if it does not.
 pub fn ask(process: &Process, call: &str) -> String {
     let told = || {
         let mut stream = TcpStream::connect(process.operators()?).ok()?;
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -44,16 +44,16 @@
     /// `own`: a loopback address that nobody else uses; the processes' own ones follow it by ten.
     pub fn start(count: usize, own: IpAddr, seed: u64) -> io::Result<Relays> {
         // Datagrams and links come to one number.
-        let doors = (0..count).map(|_| pair((own, 0).into())).collect::<io::Result<Vec<_>>>()?;
+        let listeners = (0..count).map(|_| pair((own, 0).into())).collect::<io::Result<Vec<_>>>()?;
         let before =
-            doors.iter().map(|(datagrams, _)| datagrams.local_addr()).collect::<io::Result<Vec<_>>>()?;
+            listeners.iter().map(|(datagrams, _)| datagrams.local_addr()).collect::<io::Result<Vec<_>>>()?;
         // Ports that are free now, all held until all are known.
         let place = |n: usize| SocketAddr::new(nth(own, 10 + n), 0);
         let held = (0..count).map(|n| pair(place(n))).collect::<io::Result<Vec<_>>>()?;
         let behind =
             held.iter().map(|(datagrams, _)| datagrams.local_addr()).collect::<io::Result<Vec<_>>>()?;
         let relays = Relays { before, behind, rules: Arc::default(), over: Arc::default() };
-        for (n, (socket, links)) in doors.into_iter().enumerate() {
+        for (n, (socket, links)) in listeners.into_iter().enumerate() {
             socket.set_read_timeout(Some(Duration::from_millis(2)))?;
             let (behind, rules, over) = (relays.behind.clone(), relays.rules.clone(), relays.over.clone());
             let rng = fastrand::Rng::with_seed(seed + n as u64);
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -75,7 +75,7 @@
         )
     }
 
-    /// Options with both doors at these addresses, and whatever else stands within `health`.
+    /// Options with both listeners at these addresses, and whatever else stands within `health`.
     pub fn options(http: SocketAddr, agent: SocketAddr, callers: u32, more: &str) -> String {
         format!(
             "<birchreach-options>\n<health>\n<http listen='{http}' callers='{callers}'/>\n\
@@ -106,7 +106,7 @@
         Ok(process)
     }
 
-    /// One with both doors at free ports of its own.
+    /// One with both listeners at free ports of its own.
     pub fn start_with_doors(&self, n: u64, callers: u32, more: &str) -> io::Result<Process> {
         let free = SocketAddr::new(self.own, 0);
         self.start(n, Some(&Rig::options(free, free, callers, more)), None)
