Test: discovery finds a descriptor where clients hold them all

The process is stopped while discovery's connection ends and newcomers queue for the descriptor that this frees; once it goes on, an idle client makes room and the next call goes out before any client has been closed for being idle.

--- a/proxy/tests/player/steps.rs
+++ b/proxy/tests/player/steps.rs
@@ -43,6 +43,13 @@
                     self.log_seen = next.unwrap_or_else(|_| panic!("no such line in the log"));
                 }
             }
+            ("unlogged", _) => {
+                let unwanted: Vec<&str> = line.strip_prefix("unlogged ").unwrap().split(" or ").collect();
+                let mut come: Vec<String> = self.processes[0].log.try_iter().collect();
+                come.insert(0, self.log_seen.clone());
+                let found = come.iter().find(|l| unwanted.iter().any(|u| l.contains(u)));
+                assert!(found.is_none(), "{found:?}");
+            }
             ("signal", name) => self.signal(name),
             ("exit", code) => {
                 let start = Instant::now();
