--- a/proxy/src/net/clients/places.rs
+++ b/proxy/src/net/clients/places.rs
@@ -2,6 +2,7 @@
 
 use super::super::Due;
 use super::super::cx::Cx;
+use super::super::pause::{self, Point};
 use super::super::sources::Source;
 use super::client::{Client, NEWCOMER};
 use super::{Clients, spare};
@@ -103,6 +104,7 @@
             let ranks = can_be_shed.map(|(k, c)| (c.rank(cx.now), k));
             let first = ranks.filter(|(rank, _)| rank.0 <= class).min();
             let Some((before, key)) = first else { return };
+            pause::at(Point::Shed);
             // What came in meanwhile is read first: a request must not cross with the end.
             self.ready(cx, key);
             match self.slots.get(key) {
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod leaving;
 mod listener;
+mod pause;
 mod places;
 mod pool;
 mod reload;
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -30,5 +30,6 @@
     spoilt surplus unreadable_report future_report answers_report spoilt_usage rude unfinished
     operator upgrade stream retune
     agent_reset agent_stalls leaver pipelined_wait keyed stopping_pipelined moved_opening left_while_opening
-    left_while_held left_halfway cancel_key descriptors_discovery indented half_line moved_drain keyed_window
+    left_while_held left_halfway cancel_key descriptors_discovery idle_crossing unfinished_crossing shed_crossing leave_crossing
+    agent_unreachable indented half_line moved_drain keyed_window
 }
--- a/proxy/tests/player/mod.rs
+++ b/proxy/tests/player/mod.rs
@@ -46,13 +46,16 @@
             config = config.replace(&format!("${l}"), &address(l));
         }
         // What an exchange changes: of the configuration, and of the descriptors that the system gives.
-        let mut descriptors = "256";
+        let (mut descriptors, mut stops) = ("256", String::new());
         for line in script.lines() {
             if let Some((old, new)) = line.strip_prefix("config ").and_then(|l| l.split_once(" => ")) {
                 assert!(config.contains(old), "{line}");
                 config = config.replace(old, new);
             }
             descriptors = line.strip_prefix("descriptors ").unwrap_or(descriptors);
+            if let Some(point) = line.strip_prefix("stops at ") {
+                stops = format!("export BIRCHREACH_TEST_STOP_AT={point}; ");
+            }
         }
         let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
         std::fs::write(&path, &config).unwrap();
@@ -62,7 +65,7 @@
         let shared = shared.then(|| TcpListener::bind("127.0.0.1:0").unwrap());
         let handed = if shared.is_some() { "3<&0 </dev/null" } else { "" };
         let program = env!("CARGO_BIN_EXE_birchreach-proxy");
-        let shell = format!("ulimit -n {descriptors}; exec '{program}' {handed}");
+        let shell = format!("{stops}ulimit -n {descriptors}; exec '{program}' {handed}");
         let (process, listen, started) = Process::start(&shell, &path, shared.as_ref());
         let names = LISTENERS.map(|l| (l.to_string(), plain(&address(l)))).into_iter().collect();
         let (open, config) = (HashMap::new(), (path, config));
--- a/proxy/tests/player/process.rs
+++ b/proxy/tests/player/process.rs
@@ -6,6 +6,7 @@
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
 
 /// A process of the program, and where operators call it.
 pub struct Process {
@@ -22,6 +23,15 @@
 }
 
 impl Process {
+    /// Waits until it has stopped itself.
+    pub fn stopped(&self) {
+        let (stat, start) = (format!("/proc/{}/stat", self.program.id()), Instant::now());
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+            assert!(start.elapsed() < PATIENCE, "it goes on");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Starts the program and waits until it serves; also where clients connect, and its first log line.
     pub fn start(shell: &str, config: &str, shared: Option<&TcpListener>) -> (Process, SocketAddr, String) {
         let mut command = Command::new("/bin/sh");
--- a/proxy/tests/player/steps.rs
+++ b/proxy/tests/player/steps.rs
@@ -1,8 +1,9 @@
 //! What each line of an exchange does.
 
 use super::process::Process;
-use super::{PATIENCE, Player};
+use super::{PATIENCE, Player, accept};
 use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 impl Player {
@@ -10,7 +11,8 @@
         let (party, rest) = line.split_once(' ').unwrap_or((line, ""));
         let (deed, rest) = rest.split_once(' ').unwrap_or((rest, ""));
         match (party, deed) {
-            ("config" | "descriptors" | "inherited", _) => {}
+            ("config" | "descriptors" | "inherited" | "stops", _) => {}
+            ("stopped", _) => self.processes[0].stopped(),
             ("beside", _) => {
                 let (process, ..) = Process::start(&self.shell, &self.config.0, self.shared.as_ref());
                 self.processes.insert(0, process);
@@ -62,6 +64,14 @@
                 };
                 assert_eq!(status.code().unwrap().to_string(), code);
             }
+            (listener, "full") => {
+                let listener = &self.listeners[listener];
+                // One connection in its queue, and the system drops whoever else wants to come.
+                socket2::SockRef::from(listener).listen(0).unwrap();
+                let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+                self.open.insert(format!("{party}.filler"), filler);
+            }
+            (listener, "room") => drop(accept(&self.listeners[listener])),
             (listener, "none") => {
                 let listener = &self.listeners[listener];
                 listener.set_nonblocking(true).unwrap();
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -79,13 +79,17 @@
         lock(&self.log).clone()
     }
 
+    /// The first line so far that has all of these words.
+    pub fn line_now(&self, words: &[&str]) -> Option<String> {
+        lock(&self.log).iter().find(|line| words.iter().all(|w| line.contains(w))).cloned()
+    }
+
     /// The first line with all of these words, once it is there.
     pub fn line(&self, words: &[&str]) -> Option<String> {
         let start = Instant::now();
         loop {
-            let has = |line: &&String| words.iter().all(|w| line.contains(w));
-            if let Some(line) = lock(&self.log).iter().find(has) {
-                return Some(line.clone());
+            if let Some(line) = self.line_now(words) {
+                return Some(line);
             }
             if start.elapsed() > PATIENCE {
                 return None;
