Review case 3: the list has to be asked for, as where calls wait in turn

Cause: an agent to which lists are pushed answers at once; a slow answer belongs to a discovery that is asked.

--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -304,7 +304,10 @@
         Listed::new("s-r", database("draining", false), false),
         Listed::new("s-q", database("replica", false), false),
     ]);
-    let settings = settings(r#""idempotency": "single_shot""#, "carried");
+    // The list has to be asked for, of a service that all proxies share.
+    let settings = settings(r#""idempotency": "single_shot""#, "carried")
+        .replace(r#""registry_mode": "automatic""#, r#""registry_mode": "subscribe""#)
+        .replace(r#""answer_slack_ms": 20.0"#, r#""answer_slack_ms": 20.0, "ask_within_ms": 10000.0"#);
     let proxy = rig.start(&ProxyConfig { name: "n1", discovery: &discovery, settings, listener: None });
     proxy.wait_until_ready();
 
