Router: check the window of repeats again just before a retry is written

What callers saw: a write of a class with an idempotency key (`guarded`) ran twice. Its retry reached the primary up to 226 ms after the class's window of repeats, when the database no longer knew the key. The client got one answer, "served".

Cause: Router::may_execute_on compared the window with the time of the decision. Between the decision and the write the attempt waits for a connection (up to the connect timeout) or for the end of a cooldown. Router::may_still_send, which the pool asks just before it writes, checked drains, roles and the age of data again, but nothing of what a repeat is bound to: for a write it returned true.

Change: may_still_send asks the same rule as the decision (may_execute_besides), for the other attempts in flight and the completed ones, at the time of the write. That covers the window, its scope of zones, and hedging that new settings have forbidden meanwhile. A plain request has no other attempt, so that its check ends at once. An attempt that is withheld counts as not sent; the write then fails (58000: it may have run), which is what the rule leaves.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::Router;
 use super::pending::{AttemptKey, InFlightAttempt, PendingRequest, PossibleExecution};
+use super::servers::Server;
 use crate::interface::{
     Action, AttemptNumber, Consistency, DedupScope, Idempotency, Micros, RequestId, ServerId, StaleReadPolicy,
 };
@@ -19,7 +20,7 @@
         let Some(mut request) = self.pending.remove(&request_id) else { return false };
         let may_send = request.attempts_sent < request.max_attempts && self.now < request.deadline;
         let selected = if may_send { self.select_server(&mut request, actions) } else { None };
-        let selected = selected.filter(|server| self.may_execute_on(&request, *server));
+        let selected = selected.filter(|server| self.may_execute_on(&request, *server, self.now));
         let has_attempt_in_flight = !request.in_flight_attempts.is_empty();
         self.pending.insert(request_id, request);
         match selected {
@@ -72,47 +73,78 @@
 
     /// The attempts of the request that are in flight.
     pub(super) fn attempts_of(&self, request: &PendingRequest) -> impl Iterator<Item = &InFlightAttempt> {
-        let request_id = request.queue_position.request;
-        let keys = request.in_flight_attempts.iter();
-        keys.filter_map(move |attempt| {
-            self.in_flight.get(&AttemptKey { request: request_id, attempt: *attempt })
-        })
+        request.in_flight_attempts.iter().filter_map(|attempt| self.in_flight_attempt(request, *attempt))
+    }
+
+    /// The attempt with this number, if it is in flight.
+    fn in_flight_attempt(
+        &self,
+        request: &PendingRequest,
+        attempt: AttemptNumber,
+    ) -> Option<&InFlightAttempt> {
+        let key = AttemptKey { request: request.queue_position.request, attempt };
+        self.in_flight.get(&key)
     }
 
-    /// Returns whether the request may be executed on this server. If an earlier attempt may have executed
-    /// it, that depends on the hedging setting and on the idempotency of the request's class.
-    pub(super) fn may_execute_on(&self, request: &PendingRequest, server_id: ServerId) -> bool {
-        let Some(first) = self.first_possible_execution(request) else { return true };
-        if !request.in_flight_attempts.is_empty() && !self.settings.hedging_allowed {
+    /// Returns whether the request may be executed on this server at this time. If an earlier attempt may
+    /// have executed it, that depends on the hedging setting and on the idempotency of the request's class.
+    pub(super) fn may_execute_on(&self, request: &PendingRequest, server_id: ServerId, now: Micros) -> bool {
+        self.may_execute_besides(request, request.in_flight_attempts.iter(), server_id, now)
+    }
+
+    /// Returns whether the request may be executed on this server at this time, besides these attempts in
+    /// flight and the completed ones.
+    fn may_execute_besides<'a>(
+        &self,
+        request: &PendingRequest,
+        in_flight: impl Iterator<Item = &'a AttemptNumber>,
+        server_id: ServerId,
+        now: Micros,
+    ) -> bool {
+        let in_flight = in_flight.filter_map(|attempt| self.in_flight_attempt(request, *attempt));
+        let first_in_flight = in_flight
+            .map(|attempt| PossibleExecution { sent_at: attempt.sent_at, server: attempt.server })
+            .min();
+        if first_in_flight.is_some() && !self.settings.hedging_allowed {
             return false;
         }
+        let Some(first) = first_in_flight.into_iter().chain(request.possible_execution).min() else {
+            return true;
+        };
         match self.class_of(request).idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NotIdempotent => false,
             Idempotency::WithKey { scope, dedup_window } => {
                 let zone_of = |id| self.servers.get(&id).map(|server| server.endpoint.listed().zone);
-                let is_in_window = self.now - first.sent_at < dedup_window;
+                let is_in_window = now - first.sent_at < dedup_window;
                 is_in_window && (scope != DedupScope::Zone || zone_of(server_id) == zone_of(first.server))
             }
         }
     }
 
-    /// The attempt that was sent first among those, in flight or completed, that may have run.
-    fn first_possible_execution(&self, request: &PendingRequest) -> Option<PossibleExecution> {
-        let in_flight = self
-            .attempts_of(request)
-            .map(|attempt| PossibleExecution { sent_at: attempt.sent_at, server: attempt.server });
-        in_flight.chain(request.possible_execution).min()
-    }
-
     /// Whether an attempt may still be written to its server. The caller has to check this just before
     /// writing: while the connection was established, the server may have started to drain or lost its role,
-    /// and its data may have become too old.
+    /// its data may have become too old, and the time within which a request that may have run may be
+    /// repeated may have passed.
     pub fn may_still_send(&self, now: Micros, request_id: RequestId, attempt: AttemptNumber) -> bool {
+        let now = now.max(self.now);
         let Some(request) = self.pending.get(&request_id) else { return false };
-        let key = AttemptKey { request: request_id, attempt };
-        let Some(attempt) = self.in_flight.get(&key) else { return false };
-        let Some(server) = self.accepting_server(attempt.server) else { return false };
+        let Some(in_flight) = self.in_flight_attempt(request, attempt) else { return false };
+        let other_attempts = || request.in_flight_attempts.iter().filter(|other| **other != attempt);
+        self.accepting_server(in_flight.server).is_some_and(|server| {
+            self.may_execute_besides(request, other_attempts(), in_flight.server, now)
+                && self.has_required_data(request, in_flight.server, server, now)
+        })
+    }
+
+    /// Whether a server has the data that the request has to see at this time.
+    fn has_required_data(
+        &self,
+        request: &PendingRequest,
+        id: ServerId,
+        server: &Server,
+        now: Micros,
+    ) -> bool {
         // A server of another group checks the position of its copy itself.
         if server.endpoint.listed().group != request.group {
             return true;
@@ -121,8 +153,8 @@
             Consistency::Write | Consistency::Any => true,
             Consistency::Strong | Consistency::Session | Consistency::BoundedStaleness(_) => {
                 self.settings.stale_reads == StaleReadPolicy::Rejected
-                    || self.primary(request.group) == Some(attempt.server)
-                    || server.replication.has_reached(self.required_position(request, now.max(self.now)))
+                    || self.primary(request.group) == Some(id)
+                    || server.replication.has_reached(self.required_position(request, now))
             }
         }
     }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -58,7 +58,7 @@
     /// Whether the request may have run and may not be sent again, not even to the server that may have run
     /// it.
     fn is_retry_forbidden(&self, request: &PendingRequest) -> bool {
-        request.possible_execution.is_some_and(|first| !self.may_execute_on(request, first.server))
+        request.possible_execution.is_some_and(|first| !self.may_execute_on(request, first.server, self.now))
     }
 
     pub(super) fn dequeue(&mut self, request_id: RequestId) {
--- /dev/null
+++ b/tests/delayed_sends.rs
@@ -0,0 +1,85 @@
+//! Attempts that were sent by a decision of the router but wait for a connection: which of them may still be written once the
+//! connection is established.
+
+mod common;
+use birchreach::*;
+use common::*;
+
+/// Whether an attempt may be written now.
+fn may_still_send(fixture: &RouterFixture, request: u64, attempt: u16) -> bool {
+    fixture.router.may_still_send(fixture.now, RequestId(request), AttemptNumber(attempt))
+}
+
+/// A router whose writes have an idempotency key with a window of 600 ms.
+fn fixture_with_key() -> RouterFixture {
+    let mut settings = settings();
+    settings.classes[WRITE as usize] = class(Consistency::Write, with_idempotency_key());
+    RouterFixture::new(settings)
+}
+
+/// Sends a write whose first attempt is lost after 200 ms, and returns the id of the write. Its second attempt waits for a
+/// connection to the primary from 250 ms on.
+fn write_with_waiting_retry(fixture: &mut RouterFixture) -> u64 {
+    let write = fixture.request(WRITE);
+    fixture.advance(200 * MILLISECOND);
+    let mut actions = fixture.complete_attempt(write.id, 0, PRIMARY, AttemptOutcome::ConnectionReset);
+    actions.extend(fixture.advance(50 * MILLISECOND));
+    assert_eq!(servers_sent_to(&actions), [PRIMARY], "the write is retried within the window");
+    write.id
+}
+
+// A write with an idempotency key ran twice: its retry was decided within the deduplication window and written after it.
+#[test]
+fn a_retry_is_not_sent_once_the_deduplication_window_has_passed() {
+    // Given a retry that waits for a connection
+    let mut fixture = fixture_with_key();
+    let write = write_with_waiting_retry(&mut fixture);
+    // When the connection is established just before the end of the window, then the retry may be sent
+    fixture.now += 350 * MILLISECOND - 1;
+    assert!(may_still_send(&fixture, write, 1));
+    // When the connection is established at the end of the window, then the retry may not be sent
+    fixture.now += 1;
+    assert!(!may_still_send(&fixture, write, 1));
+    // When the attempt is reported as not sent, then the write fails, because it may have run
+    let actions = fixture.complete_attempt(write, 1, PRIMARY, AttemptOutcome::NotSent);
+    assert!(is_failed(&actions) && !is_rejected(&actions));
+}
+
+// The window counts from the first attempt that may have run, also while that attempt is in flight.
+#[test]
+fn a_hedged_write_is_not_sent_once_the_deduplication_window_has_passed() {
+    // Given a write without a response, in a group that has a new primary
+    let mut fixture = fixture_with_key();
+    let write = fixture.request(WRITE);
+    let misrouted_write = fixture.request(WRITE);
+    let replica_status = status(Role::Replica, fixture.now);
+    let outcome = AttemptOutcome::Ineligible;
+    fixture.complete_attempt_with_status(misrouted_write.id, 0, PRIMARY, outcome, replica_status);
+    fixture.handle(Event::ClientDisconnected { request: RequestId(misrouted_write.id) });
+    fixture.report_position(REPLICA_1, Role::Primary, 0);
+    // When the write is hedged, then its second attempt may be sent within the window and not afterwards
+    let hedged = fixture.advance(590 * MILLISECOND);
+    assert_eq!(servers_sent_to(&hedged), [REPLICA_1], "the write is hedged at the new primary");
+    assert!(may_still_send(&fixture, write.id, 1));
+    fixture.now += 10 * MILLISECOND;
+    assert!(!may_still_send(&fixture, write.id, 1));
+}
+
+/// A read with two attempts in flight, and the router without the permission to cancel attempts.
+fn hedged_read() -> (RouterFixture, u64) {
+    let mut fixture = RouterFixture::new(Settings { cancellation_allowed: false, ..settings() });
+    let read = fixture.request(ANY);
+    let hedged = servers_sent_to(&fixture.advance(1_000 * MILLISECOND));
+    assert!(!hedged.is_empty(), "the read is hedged");
+    (fixture, read.id)
+}
+
+#[test]
+fn a_hedged_read_is_not_sent_once_the_settings_forbid_hedging() {
+    // Given a hedged read whose second attempt waits for a connection
+    let (mut fixture, read) = hedged_read();
+    // When new settings forbid two attempts at the same time, then the second attempt may not be sent
+    let settings = Settings { hedging_allowed: false, ..settings() };
+    fixture.handle(Event::Settings(Box::new(settings)));
+    assert!(!may_still_send(&fixture, read, 1));
+}
