Router: do not send a waiting attempt once another attempt's response has started

Seen while looking for other paths on which a decision is acted upon later: where the settings forbid cancellation, an attempt that waits for a connection was still written after the response of another attempt of the same request had begun to stream to the client, so the database worked for nothing. Where cancellation is allowed, the waiting attempt is cancelled in the same turn.

Cause: Router::may_still_send did not look at the other attempts. It now refuses an attempt if another one of its request has started to respond; the attempt counts as not sent, which changes nothing for the client.

Test: a_hedged_read_is_not_sent_once_the_response_of_another_attempt_has_started, which failed before with "assertion failed: !may_still_send(&fixture, read, 1)".

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -124,8 +124,8 @@
 
     /// Whether an attempt may still be written to its server. The caller has to check this just before
     /// writing: while the connection was established, the server may have started to drain or lost its role,
-    /// its data may have become too old, and the time within which a request that may have run may be
-    /// repeated may have passed.
+    /// its data may have become too old, another attempt may have started to respond, and the time within
+    /// which a request that may have run may be repeated may have passed.
     pub fn may_still_send(&self, now: Micros, request_id: RequestId, attempt: AttemptNumber) -> bool {
         let now = now.max(self.now);
         let Some(request) = self.pending.get(&request_id) else { return false };
@@ -133,10 +133,17 @@
         let other_attempts = || request.in_flight_attempts.iter().filter(|other| **other != attempt);
         self.accepting_server(in_flight.server).is_some_and(|server| {
             self.may_execute_besides(request, other_attempts(), in_flight.server, now)
+                && !other_attempts().any(|other| self.has_response_started(request, *other))
                 && self.has_required_data(request, in_flight.server, server, now)
         })
     }
 
+    /// Whether the response of an attempt in flight has started.
+    fn has_response_started(&self, request: &PendingRequest, attempt: AttemptNumber) -> bool {
+        let attempt = self.in_flight_attempt(request, attempt);
+        attempt.is_some_and(|attempt| attempt.response_started_at.is_some())
+    }
+
     /// Whether a server has the data that the request has to see at this time.
     fn has_required_data(
         &self,
--- a/tests/delayed_sends.rs
+++ b/tests/delayed_sends.rs
@@ -74,6 +74,17 @@
     (fixture, read.id)
 }
 
+#[test]
+fn a_hedged_read_is_not_sent_once_the_response_of_another_attempt_has_started() {
+    // Given a hedged read whose second attempt waits for a connection
+    let (mut fixture, read) = hedged_read();
+    assert!(may_still_send(&fixture, read, 1));
+    // When the response of the first attempt starts, then the second one may not be sent
+    let started = Event::ResponseStarted { request: RequestId(read), attempt: AttemptNumber(0) };
+    fixture.handle(started);
+    assert!(!may_still_send(&fixture, read, 1));
+}
+
 #[test]
 fn a_hedged_read_is_not_sent_once_the_settings_forbid_hedging() {
     // Given a hedged read whose second attempt waits for a connection
