Router: do not send a waiting request to a server that has left its group

Cause: Router::may_still_send took a server of another group for the holder of a copy, which checks its position itself, and let the attempt pass. It now does so only if the server is one of the request's copy candidates.

Test: a_request_is_not_sent_once_its_server_belongs_to_another_group, which failed before with "assertion failed: !may_still_send(&fixture, request.id, 0)". The tests of copies pass as before.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -144,7 +144,7 @@
         attempt.is_some_and(|attempt| attempt.response_started_at.is_some())
     }
 
-    /// Whether a server has the data that the request has to see at this time.
+    /// Whether a server has the data of the request's group, as new as the request requires it at this time.
     fn has_required_data(
         &self,
         request: &PendingRequest,
@@ -152,9 +152,10 @@
         server: &Server,
         now: Micros,
     ) -> bool {
-        // A server of another group checks the position of its copy itself.
+        // A server of another group checks the position of its copy itself. Without a copy, it has left the
+        // group since the request was assigned to it.
         if server.endpoint.listed().group != request.group {
-            return true;
+            return request.copy_candidates.iter().any(|copy| copy.server == id);
         }
         match self.class_of(request).consistency {
             Consistency::Write | Consistency::Any => true,
--- a/tests/delayed_sends.rs
+++ b/tests/delayed_sends.rs
@@ -5,6 +5,9 @@
 use birchreach::*;
 use common::*;
 
+/// The time between the decision and the established connection.
+const CONNECT_DELAY: Micros = 200 * MILLISECOND;
+
 /// Whether an attempt may be written now.
 fn may_still_send(fixture: &RouterFixture, request: u64, attempt: u16) -> bool {
     fixture.router.may_still_send(fixture.now, RequestId(request), AttemptNumber(attempt))
@@ -65,6 +68,22 @@
     assert!(!may_still_send(&fixture, write.id, 1));
 }
 
+#[test]
+fn a_request_is_not_sent_once_its_server_belongs_to_another_group() {
+    // Given a write and a read that wait for connections
+    let mut fixture = RouterFixture::new(settings());
+    let requests = [fixture.request(WRITE), fixture.request(ANY)];
+    for request in requests {
+        let server = request.server();
+        fixture.now += CONNECT_DELAY;
+        assert!(may_still_send(&fixture, request.id, 0));
+        // When the endpoint list moves their server to another group, then they may not be sent
+        fixture.set_endpoints(&endpoints_with_change(server, |endpoint| endpoint.group = GroupId(1)));
+        assert!(!may_still_send(&fixture, request.id, 0));
+        fixture.set_endpoints(&ready_endpoints(ALL_SERVERS));
+    }
+}
+
 /// A read with two attempts in flight, and the router without the permission to cancel attempts.
 fn hedged_read() -> (RouterFixture, u64) {
     let mut fixture = RouterFixture::new(Settings { cancellation_allowed: false, ..settings() });
