Handover: the two processes of a proxy tell each other of the session writes they answer

Cause: the positions of sessions' writes (SessionPositions, src/policy/required_position.rs) are known to the process that answered the write alone. The link between the two processes carried only that the new one serves, and when and how far the old one stops.

Change: each process writes `committed SESSION POSITION` to the link before it writes the answer to the client, and each serves the link before its clients. What cannot be told by session (writes before the link, a full buffer) is told by its highest position, which then holds for all sessions. Every 25 ms each announces until when its writes are reported, including those of a process beyond it. While the last announcement is more than 100 ms old (PROTOCOL: what an answer tells counts as known after 100 ms), a session read has to see all that was committed before it arrived; the same while the other process is of an earlier version, and after a link that broke or carried an invalid line, for as long as the other process may serve. So neither a late nor a broken link can make a read stale. A process of an earlier version gets only lines that it knows: the new one states with `yields 0`, which earlier versions ignore, that it understands more, and says nothing new to a process that has not stated it. A proxy that runs alone does nothing of this; its plain requests pay one comparison. State: what the table of sessions holds already (65,536), at most 64 KiB of output for the link.

Tests: proxy/tests/handover/ (8, with a stand-in for the other process that is late, silent, invalid, gone or between two), unit tests of the lines and reports, tests/session_writes.rs. All 8 failed before, e.g. sessions_see_their_writes_through_either_process_during_a_replacement_and_afterwards: "assertion `left == right` failed: the read of before / left: Served("(no such row)") / right: Served("\x02")". a_process_between_two_others_passes_on_what_it_hears failed once while it was written, since a time that is converted between two clocks may come out some microseconds later; its bound says so now.

--- a/proxy/src/core/actions.rs
+++ b/proxy/src/core/actions.rs
@@ -49,7 +49,8 @@
         pending.attempts_started += 1;
         pending.attempts_in_flight += 1;
         let from_copy = pending.copy_holders.contains(&server);
-        let in_flight = InFlightAttempt { server, class: pending.class, sent_at: now, from_copy };
+        let (class, session) = (pending.class, pending.session);
+        let in_flight = InFlightAttempt { server, class, session, sent_at: now, from_copy };
         let payload = pending.payload.clone();
         self.observers.notify(now, CoreEvent::AttemptSent { server });
         self.in_flight.insert(attempt, in_flight);
--- a/proxy/src/core/attempts.rs
+++ b/proxy/src/core/attempts.rs
@@ -56,7 +56,10 @@
             self.notify_read_served(now, request, &in_flight, &reply);
         }
         self.release_attempt(now, request);
-        let (outcome, status, load_report) = (reply.outcome, reply.status, reply.load_report);
+        let (outcome, load_report) = (reply.outcome, reply.load_report);
+        let status = reply.status.map(|status| without_future_position(status, now));
+        // The other processes of this proxy are informed before the client.
+        self.share_session_write(&in_flight, outcome, status);
         self.answer_from_reply(now, attempt, reply);
         let result = AttemptResult {
             request,
@@ -65,7 +68,7 @@
             outcome,
             elapsed: now - in_flight.sent_at,
             request_finished: !self.requests.contains_key(&request),
-            status: status.map(|status| without_future_position(status, now)),
+            status,
             load_report: discard_if_in_future(load_report, now),
         };
         self.handle(now, Event::AttemptCompleted(result));
--- a/proxy/src/core/classes.rs
+++ b/proxy/src/core/classes.rs
@@ -83,6 +83,11 @@
         self.classes.iter().map(|class| class.rules.consistency).collect()
     }
 
+    /// Returns the number of processes of this proxy, including this one.
+    pub(super) fn process_count(&self) -> u32 {
+        self.process_count
+    }
+
     /// Returns whether the settings allow health checks.
     pub(super) fn health_checks_allowed(&self) -> bool {
         self.routing.health_checks_allowed
--- a/proxy/src/core/command.rs
+++ b/proxy/src/core/command.rs
@@ -81,6 +81,8 @@
     CancelAttempt { attempt: AttemptId },
     /// Send a server a health check. [`super::Core::health_check_completed`] receives its result.
     HealthCheck { server: ServerId },
+    /// Report a committed write of a session to the other processes of this proxy.
+    ShareSessionWrite { session: SessionId, position: Micros },
     /// Send a client its answer.
     Answer { client: ClientKey, request: RequestId, answer: Answer },
     /// Start to stream a long value. Chunks follow, and then [`Answer::Streamed`] or [`Command::AbortStream`].
--- a/proxy/src/core/mod.rs
+++ b/proxy/src/core/mod.rs
@@ -13,10 +13,11 @@
 mod health_checks;
 mod requests;
 mod server_table;
+mod session_writes;
 
 use crate::observe::{CopyLocator, Observers};
 use crate::stats::{Gauges, Stats};
-use birchreach::{Action, ClassId, Event, GroupId, Micros, RequestId, Router, ServerId};
+use birchreach::{Action, ClassId, Event, GroupId, Micros, RequestId, Router, ServerId, SessionId};
 use birchreach_settings::DeploymentSettings;
 use classes::ClassTable;
 pub(crate) use command::{
@@ -37,6 +38,7 @@
     client: ClientKey,
     class: ClassId,
     group: GroupId,
+    session: Option<SessionId>,
     payload: P,
     /// Servers of other groups that may hold a copy of the requested data.
     copy_holders: Vec<ServerId>,
@@ -52,6 +54,7 @@
 struct InFlightAttempt {
     server: ServerId,
     class: ClassId,
+    session: Option<SessionId>,
     sent_at: Micros,
     from_copy: bool,
 }
--- a/proxy/src/core/requests.rs
+++ b/proxy/src/core/requests.rs
@@ -23,6 +23,7 @@
             client,
             class,
             group,
+            session,
             payload,
             copy_holders: copy_candidates.iter().map(|candidate| candidate.server).collect(),
             attempts_started: 0,
--- a/proxy/src/handover_protocol.rs
+++ b/proxy/src/handover_protocol.rs
@@ -1,12 +1,15 @@
 //! The protocol between two processes of one proxy while one replaces the other. Messages are lines of text. The protocol is a
 //! state machine: the caller reads and writes the bytes.
 
+pub(crate) mod session_write_reports;
 #[cfg(test)]
 mod tests;
 
 use crate::outbox::Outbox;
+use birchreach::SessionId;
 use std::error::Error;
 use std::fmt::{self, Display};
+use std::str::FromStr;
 
 /// The most bytes that may arrive before the end of a line.
 const MAX_LINE_BYTES: usize = 64;
@@ -21,8 +24,24 @@
     /// `yields T`: the older process accepts no work from the time `T` on, in Unix microseconds of the system's clock, which both
     /// processes read.
     StopsAcceptingAt(i64),
+    /// `yields 0`, from the newer process only: it understands the messages below. An earlier version takes it for a time, which it
+    /// does not use. Neither process sends the messages below to a process that has not sent this message or one of them.
+    SharesSessionWrites,
+    /// `committed S P`: the sender has answered a write of the session `S` (in 16 hexadecimal digits), which was committed at the
+    /// position `P`.
+    SessionWritten { session: SessionId, position: i64 },
+    /// `missed P`: the sender has answered writes up to the position `P` that it has not reported one by one.
+    SessionWritesMissed(i64),
+    /// `current T`: all writes that the sender, and the processes beyond it, answered before the time `T` have been reported. `T` is
+    /// in Unix microseconds of the system's clock.
+    SessionWritesReportedUntil(i64),
+    /// `finished`: the sender, and the processes beyond it, answer no further writes.
+    SessionWritesFinished,
 }
 
+/// The time of the line `yields` that stands for [`HandoverMessage::SharesSessionWrites`].
+const SHARES_SESSION_WRITES_TIME: i64 = 0;
+
 /// A received line is not a message, or is too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct InvalidMessage;
@@ -65,6 +84,13 @@
             HandoverMessage::Serving => "serving\n".to_string(),
             HandoverMessage::Stopping(descriptors) => format!("leaving {descriptors}\n"),
             HandoverMessage::StopsAcceptingAt(unix_micros) => format!("yields {unix_micros}\n"),
+            HandoverMessage::SharesSessionWrites => format!("yields {SHARES_SESSION_WRITES_TIME}\n"),
+            HandoverMessage::SessionWritten { session: SessionId(session), position } => {
+                format!("committed {session:016x} {position}\n")
+            }
+            HandoverMessage::SessionWritesMissed(position) => format!("missed {position}\n"),
+            HandoverMessage::SessionWritesReportedUntil(unix_micros) => format!("current {unix_micros}\n"),
+            HandoverMessage::SessionWritesFinished => "finished\n".to_string(),
         };
         self.outbox.append(line.as_bytes());
     }
@@ -74,12 +100,29 @@
 fn parse(line: &str) -> Result<HandoverMessage, InvalidMessage> {
     match line.split_once(' ') {
         None if line == "serving" => Ok(HandoverMessage::Serving),
-        Some(("leaving", descriptors)) => {
-            descriptors.parse().map(HandoverMessage::Stopping).map_err(|_| InvalidMessage)
-        }
-        Some(("yields", unix_micros)) => {
-            unix_micros.parse().map(HandoverMessage::StopsAcceptingAt).map_err(|_| InvalidMessage)
+        None if line == "finished" => Ok(HandoverMessage::SessionWritesFinished),
+        Some(("leaving", descriptors)) => parse_number(descriptors).map(HandoverMessage::Stopping),
+        Some(("yields", unix_micros)) => match parse_number(unix_micros)? {
+            SHARES_SESSION_WRITES_TIME => Ok(HandoverMessage::SharesSessionWrites),
+            unix_micros => Ok(HandoverMessage::StopsAcceptingAt(unix_micros)),
+        },
+        Some(("committed", write)) => parse_session_write(write),
+        Some(("missed", position)) => parse_number(position).map(HandoverMessage::SessionWritesMissed),
+        Some(("current", unix_micros)) => {
+            parse_number(unix_micros).map(HandoverMessage::SessionWritesReportedUntil)
         }
         _ => Err(InvalidMessage),
     }
 }
+
+/// Parses the session and the position of a write.
+fn parse_session_write(write: &str) -> Result<HandoverMessage, InvalidMessage> {
+    let (session, position) = write.split_once(' ').ok_or(InvalidMessage)?;
+    let session = u64::from_str_radix(session, 16).map_err(|_| InvalidMessage)?;
+    let position = parse_number(position)?;
+    Ok(HandoverMessage::SessionWritten { session: SessionId(session), position })
+}
+
+fn parse_number<N: FromStr>(text: &str) -> Result<N, InvalidMessage> {
+    text.parse().map_err(|_| InvalidMessage)
+}
--- a/proxy/src/handover_protocol/tests.rs
+++ b/proxy/src/handover_protocol/tests.rs
@@ -6,12 +6,25 @@
 const SERVING: &[u8] = b"serving\n";
 const STOPPING: &[u8] = b"leaving 17\n";
 const STOPS_ACCEPTING_AT: &[u8] = b"yields 1767225600123456\n";
+const SHARES_SESSION_WRITES: &[u8] = b"yields 0\n";
+const SESSION_WRITTEN: &[u8] = b"committed 00000000000000af 1767225600123000\n";
+const SESSION_WRITES_MISSED: &[u8] = b"missed 1767225600123001\n";
+const SESSION_WRITES_REPORTED: &[u8] = b"current 1767225600123002\n";
+const SESSION_WRITES_FINISHED: &[u8] = b"finished\n";
 
 /// Each message with its line on the wire.
-const MESSAGES: [(HandoverMessage, &[u8]); 3] = [
+const MESSAGES: [(HandoverMessage, &[u8]); 8] = [
     (HandoverMessage::Serving, SERVING),
     (HandoverMessage::Stopping(17), STOPPING),
     (HandoverMessage::StopsAcceptingAt(1_767_225_600_123_456), STOPS_ACCEPTING_AT),
+    (HandoverMessage::SharesSessionWrites, SHARES_SESSION_WRITES),
+    (
+        HandoverMessage::SessionWritten { session: SessionId(0xaf), position: 1_767_225_600_123_000 },
+        SESSION_WRITTEN,
+    ),
+    (HandoverMessage::SessionWritesMissed(1_767_225_600_123_001), SESSION_WRITES_MISSED),
+    (HandoverMessage::SessionWritesReportedUntil(1_767_225_600_123_002), SESSION_WRITES_REPORTED),
+    (HandoverMessage::SessionWritesFinished, SESSION_WRITES_FINISHED),
 ];
 
 #[test]
@@ -67,7 +80,21 @@
 
 #[test]
 fn invalid_lines_are_rejected() {
-    for line in ["leaving\n", "leaving -1\n", "yields soon\n", "\n", &"x".repeat(65)] {
+    for line in [
+        "leaving\n",
+        "leaving -1\n",
+        "yields soon\n",
+        "\n",
+        &"x".repeat(65),
+        "committed\n",
+        "committed af\n",
+        "committed xyz 5\n",
+        "committed 00000000000000001 5 5\n",
+        "missed\n",
+        "missed 99999999999999999999\n",
+        "current now\n",
+        "finished now\n",
+    ] {
         // Given a line that is not a message, when it arrives
         let mut receiver = HandoverProtocol::default();
         receiver.feed(line.as_bytes());
--- a/proxy/src/net/commands.rs
+++ b/proxy/src/net/commands.rs
@@ -31,6 +31,9 @@
             }
             Command::CancelAttempt { attempt } => self.pool.cancel_attempt(context, attempt),
             Command::HealthCheck { server } => self.pool.start_health_check(context, server),
+            Command::ShareSessionWrite { session, position } => {
+                self.handover.share_session_write(session, position);
+            }
             Command::Answer { client, request, answer } => {
                 self.clients.answer(context, client, request, &answer);
             }
--- a/proxy/src/net/graceful_shutdown.rs
+++ b/proxy/src/net/graceful_shutdown.rs
@@ -27,6 +27,11 @@
 /// The process exits this long after the last accepted request can time out, when no client still waits for a response.
 const EXIT_AFTER_LONGEST_TIMEOUT_MICROS: Micros = 1_500_000;
 
+/// Returns the longest time from SIGTERM to the exit of a process that shares its listener.
+pub(super) fn longest_duration(longest_client_timeout: Micros) -> Micros {
+    CLOSE_IDLE_AFTER_HANDOVER_MICROS + longest_client_timeout + EXIT_AFTER_LONGEST_TIMEOUT_MICROS
+}
+
 impl EventLoop {
     /// Begins the shutdown. If balancers check this proxy, they first get some time to send clients elsewhere. A second signal
     /// ends that time early.
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -108,6 +108,7 @@
         }
         event_loop.run_once(&mut events, &mut signals)?;
     }
+    event_loop.handover.announce_finished();
     info!(event = "stopped", open = event_loop.context.core.open_request_count());
     Ok(())
 }
--- /dev/null
+++ b/proxy/src/net/process_handover/link.rs
@@ -0,0 +1,121 @@
+//! A connection to another process of this proxy.
+
+use super::super::sources::Source;
+use super::super::stream;
+use crate::handover_protocol::session_write_reports::SessionWriteReports;
+use crate::handover_protocol::{HandoverMessage, HandoverProtocol, InvalidMessage};
+use birchreach::Micros;
+use mio::net::UnixStream;
+use mio::{Interest, Registry};
+use std::path::Path;
+
+/// The time that [`ProcessLink::writes_recorded_until`] has before the other process has reported any writes.
+const NO_WRITES_RECORDED: Micros = Micros::MIN;
+/// The time that it has once the other process answers no further writes.
+const ALL_WRITES_RECORDED: Micros = Micros::MAX;
+
+/// The result of reading a piece of a link's input.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LinkProgress {
+    /// There may be more input.
+    MoreInput,
+    /// All input that has arrived was read.
+    InputRead,
+    /// The other process has closed the link, or has sent something that is not a message.
+    Broken,
+}
+
+/// A connection to another process, and the state that the other process has reported.
+pub(super) struct ProcessLink {
+    pub(super) stream: UnixStream,
+    pub(super) protocol: HandoverProtocol,
+    /// Whether the other process is a successor that accepts clients.
+    pub(super) is_serving: bool,
+    /// The number of descriptors that a stopping predecessor still has open. `None` if the other process is not stopping.
+    pub(super) descriptors_when_stopping: Option<usize>,
+    /// The time at which a predecessor stops accepting work, in Unix microseconds. `None` until it is announced.
+    pub(super) stops_accepting_at: Option<i64>,
+    /// The session writes that the other process has been told of.
+    pub(super) reports: SessionWriteReports,
+    /// The time until which all writes that the other process, and those beyond it, answered are recorded here.
+    pub(super) writes_recorded_until: Micros,
+    /// Received messages about session writes, which the owner applies.
+    pub(super) session_messages: Vec<HandoverMessage>,
+}
+
+impl ProcessLink {
+    /// Connects to a process that serves. Returns `None` if the socket does not exist or refuses the connection.
+    pub(super) fn connect(registry: &Registry, path: &Path) -> Option<ProcessLink> {
+        let stream = UnixStream::connect(path).ok()?;
+        let mut link = ProcessLink::register(registry, stream, Source::Predecessor)?;
+        link.protocol.send(HandoverMessage::SharesSessionWrites);
+        Some(link)
+    }
+
+    /// Creates a link on a connection and registers the connection with the event loop. Returns `None` if that fails.
+    pub(super) fn register(
+        registry: &Registry,
+        mut stream: UnixStream,
+        source: Source,
+    ) -> Option<ProcessLink> {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        registry.register(&mut stream, source.token(), interest).ok()?;
+        Some(ProcessLink {
+            stream,
+            protocol: HandoverProtocol::default(),
+            is_serving: false,
+            descriptors_when_stopping: None,
+            stops_accepting_at: None,
+            reports: SessionWriteReports::default(),
+            writes_recorded_until: NO_WRITES_RECORDED,
+            session_messages: Vec::new(),
+        })
+    }
+
+    /// Reads one piece of the input and applies its messages, except for those about session writes.
+    pub(super) fn read_piece(&mut self, scratch: &mut [u8]) -> LinkProgress {
+        let protocol = &mut self.protocol;
+        let read = stream::read(&mut self.stream, scratch, |bytes| {
+            protocol.feed(bytes);
+            false
+        });
+        let applied = self.apply_messages();
+        match (read, applied) {
+            (Ok(false), Ok(())) => LinkProgress::MoreInput,
+            (Ok(true), Ok(())) => LinkProgress::InputRead,
+            _ => LinkProgress::Broken,
+        }
+    }
+
+    /// Writes the output as far as possible without blocking. Returns whether the link is still usable.
+    pub(super) fn flush(&mut self) -> bool {
+        stream::write(&mut self.stream, &mut self.protocol.outbox).is_ok()
+    }
+
+    /// Applies the messages that have arrived completely. Those about session writes are left to the owner.
+    fn apply_messages(&mut self) -> Result<(), InvalidMessage> {
+        while let Some(message) = self.protocol.next_message()? {
+            match message {
+                HandoverMessage::Serving => {
+                    (self.is_serving, self.descriptors_when_stopping) = (true, None);
+                }
+                HandoverMessage::Stopping(descriptors) => {
+                    (self.is_serving, self.descriptors_when_stopping) = (false, Some(descriptors));
+                }
+                HandoverMessage::StopsAcceptingAt(at) => self.stops_accepting_at = Some(at),
+                message => self.session_messages.push(message),
+            }
+        }
+        Ok(())
+    }
+
+    /// Records that the other process, and those beyond it, answer no further writes.
+    pub(super) fn set_finished(&mut self) {
+        self.writes_recorded_until = ALL_WRITES_RECORDED;
+    }
+
+    /// Returns whether the other process, and those beyond it, answer no further writes.
+    pub(super) fn is_finished(&self) -> bool {
+        self.writes_recorded_until == ALL_WRITES_RECORDED
+    }
+}
--- a/proxy/src/net/process_handover.rs
+++ b/proxy/src/net/process_handover/mod.rs
@@ -1,90 +1,84 @@
 //! The handover between processes of one proxy. A predecessor is the process that this one replaces, a successor is the process
 //! that replaces this one. They connect at a Unix socket in `$TMPDIR`, so that limits and budgets cover both.
 
+mod link;
+mod session_writes;
+
 use super::event_loop_context::EventLoopContext;
 use super::sources::Source;
-use super::stream;
-use crate::handover_protocol::{HandoverMessage, HandoverProtocol, InvalidMessage};
+use super::timers::Clock;
+use crate::handover_protocol::HandoverMessage;
 use crate::hash::fnv1a;
 use crate::log::Quoted;
-use mio::net::{UnixListener, UnixStream};
+use birchreach::Micros;
+use link::{LinkProgress, ProcessLink};
+use mio::net::UnixListener;
 use mio::{Interest, Registry};
+use session_writes::LostProcesses;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use tracing::{info, warn};
 
-/// A connection to another process, and the state that the other process has reported.
-struct ProcessLink {
-    stream: UnixStream,
-    protocol: HandoverProtocol,
-    /// Whether the other process is a successor that accepts clients.
-    is_serving: bool,
-    /// The number of descriptors that a stopping predecessor still has open. `None` if the other process is not stopping.
-    descriptors_when_stopping: Option<usize>,
-    /// The time at which a predecessor stops accepting work, in Unix microseconds. `None` until it is announced.
-    stops_accepting_at: Option<i64>,
+/// One of the two processes that this process may have a link to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peer {
+    Predecessor,
+    Successor,
 }
 
-impl ProcessLink {
-    /// Creates a link on a connection that is registered with the event loop.
-    fn new(stream: UnixStream) -> ProcessLink {
-        ProcessLink {
-            stream,
-            protocol: HandoverProtocol::default(),
-            is_serving: false,
-            descriptors_when_stopping: None,
-            stops_accepting_at: None,
+impl Peer {
+    fn other(self) -> Peer {
+        match self {
+            Peer::Predecessor => Peer::Successor,
+            Peer::Successor => Peer::Predecessor,
         }
     }
-
-    /// Reads and writes as far as possible without blocking. Returns whether the link is still usable.
-    fn exchange(&mut self, scratch: &mut [u8]) -> bool {
-        let protocol = &mut self.protocol;
-        let read = stream::read(&mut self.stream, scratch, |bytes| {
-            protocol.feed(bytes);
-            true
-        });
-        let applied = self.apply_messages();
-        let written = stream::write(&mut self.stream, &mut self.protocol.outbox);
-        read.is_ok() && applied.is_ok() && written.is_ok()
-    }
-
-    /// Applies the messages that have arrived completely.
-    fn apply_messages(&mut self) -> Result<(), InvalidMessage> {
-        while let Some(message) = self.protocol.next_message()? {
-            match message {
-                HandoverMessage::Serving => {
-                    (self.is_serving, self.descriptors_when_stopping) = (true, None);
-                }
-                HandoverMessage::Stopping(descriptors) => {
-                    (self.is_serving, self.descriptors_when_stopping) = (false, Some(descriptors));
-                }
-                HandoverMessage::StopsAcceptingAt(at) => self.stops_accepting_at = Some(at),
-            }
-        }
-        Ok(())
-    }
 }
 
-/// The connections to other processes of this proxy. The default has no connections and no listener, for a proxy that does not
-/// share its client listener.
-#[derive(Default)]
+/// The connections to other processes of this proxy.
 pub(super) struct ProcessHandover {
+    clock: Clock,
     path: Option<PathBuf>,
     listener: Option<UnixListener>,
     predecessor: Option<ProcessLink>,
     successor: Option<ProcessLink>,
     /// Whether the predecessor was informed that this process serves.
     serving_announced: bool,
+    /// Processes whose link has broken while they may still answer writes. `None` if there are none.
+    lost: Option<LostProcesses>,
+    /// The timer for the next announcement of session writes is set.
+    announcement_timer_set: bool,
+    /// The longest time that a client may wait for a response.
+    longest_client_timeout: Micros,
 }
 
 impl ProcessHandover {
+    /// Creates the state of a proxy that does not share its client listener. It has no connections and no listener.
+    pub(super) fn disabled(clock: Clock) -> ProcessHandover {
+        ProcessHandover {
+            clock,
+            path: None,
+            listener: None,
+            predecessor: None,
+            successor: None,
+            serving_announced: false,
+            lost: None,
+            announcement_timer_set: false,
+            longest_client_timeout: 0,
+        }
+    }
+
     /// Connects to the process that serves at this address, if there is one, and listens for a successor.
-    pub(super) fn connect_and_listen(registry: &Registry, address: SocketAddr) -> ProcessHandover {
+    pub(super) fn connect_and_listen(
+        registry: &Registry,
+        address: SocketAddr,
+        clock: Clock,
+    ) -> ProcessHandover {
         let name = format!("birchreach-{:016x}.sock", fnv1a(address.to_string().as_bytes()));
         let path = std::env::temp_dir().join(name);
-        let predecessor = connect(registry, &path);
-        let mut handover = ProcessHandover { path: Some(path), predecessor, ..ProcessHandover::default() };
+        let predecessor = ProcessLink::connect(registry, &path);
+        let mut handover =
+            ProcessHandover { path: Some(path), predecessor, ..ProcessHandover::disabled(clock) };
         handover.listen(registry);
         handover
     }
@@ -108,27 +102,26 @@
 
     /// Accepts connections from other processes. The newest of them is the successor.
     pub(super) fn accept(&mut self, context: &mut EventLoopContext) {
-        while let Some(Ok((mut stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
-            if let Some(mut older) = self.successor.take() {
-                let _ = context.poll.registry().deregister(&mut older.stream);
-            }
-            if register(context.poll.registry(), &mut stream, Source::Successor) {
-                self.successor = Some(ProcessLink::new(stream));
+        while let Some(Ok((stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
+            self.remove_link(Peer::Successor, context);
+            self.successor = ProcessLink::register(context.poll.registry(), stream, Source::Successor);
+            if self.successor.is_some() {
                 info!(event = "successor-connected");
             }
         }
+        self.update_recorded_writes(context);
     }
 
     /// Reads and writes the predecessor's link.
     pub(super) fn predecessor_ready(&mut self, context: &mut EventLoopContext) {
-        if exchange_or_remove(&mut self.predecessor, context) {
+        if self.exchange_or_remove(Peer::Predecessor, context) {
             info!(event = "predecessor-disconnected");
         }
     }
 
     /// Reads and writes the successor's link. If the successor has disconnected, this process listens again.
     pub(super) fn successor_ready(&mut self, context: &mut EventLoopContext) {
-        if exchange_or_remove(&mut self.successor, context) {
+        if self.exchange_or_remove(Peer::Successor, context) {
             info!(event = "successor-disconnected");
             // The successor had bound its own socket to this process's path.
             self.listen(context.poll.registry());
@@ -190,29 +183,51 @@
     pub(super) fn predecessor_descriptors(&self) -> Option<usize> {
         self.predecessor.as_ref()?.descriptors_when_stopping
     }
-}
 
-/// Connects to a process that serves. Returns `None` if the socket does not exist or refuses the connection.
-fn connect(registry: &Registry, path: &Path) -> Option<ProcessLink> {
-    let mut stream = UnixStream::connect(path).ok()?;
-    if !register(registry, &mut stream, Source::Predecessor) {
-        return None;
+    fn link(&self, peer: Peer) -> Option<&ProcessLink> {
+        match peer {
+            Peer::Predecessor => self.predecessor.as_ref(),
+            Peer::Successor => self.successor.as_ref(),
+        }
     }
-    Some(ProcessLink::new(stream))
-}
 
-/// Registers a link's stream with the event loop. Returns whether that succeeded.
-fn register(registry: &Registry, stream: &mut UnixStream, source: Source) -> bool {
-    registry.register(stream, source.token(), Interest::READABLE | Interest::WRITABLE).is_ok()
-}
+    fn link_mut(&mut self, peer: Peer) -> Option<&mut ProcessLink> {
+        match peer {
+            Peer::Predecessor => self.predecessor.as_mut(),
+            Peer::Successor => self.successor.as_mut(),
+        }
+    }
+
+    /// Reads and writes a link, if there is one, and removes a link that is no longer usable. Returns whether the link was removed.
+    fn exchange_or_remove(&mut self, peer: Peer, context: &mut EventLoopContext) -> bool {
+        loop {
+            let Some(link) = self.link_mut(peer) else { return false };
+            let progress = link.read_piece(&mut context.scratch);
+            self.apply_session_messages(peer, context);
+            match progress {
+                LinkProgress::MoreInput => {}
+                LinkProgress::InputRead => break,
+                LinkProgress::Broken => {
+                    self.remove_link(peer, context);
+                    return true;
+                }
+            }
+        }
+        let is_usable = self.link_mut(peer).is_some_and(ProcessLink::flush);
+        if !is_usable {
+            self.remove_link(peer, context);
+        }
+        !is_usable
+    }
 
-/// Reads and writes a link, if there is one, and removes a link that is no longer usable. Returns whether the link was removed.
-fn exchange_or_remove(link: &mut Option<ProcessLink>, context: &mut EventLoopContext) -> bool {
-    let Some(open_link) = link else { return false };
-    if open_link.exchange(&mut context.scratch) {
-        return false;
+    /// Removes the link to a process, if there is one.
+    fn remove_link(&mut self, peer: Peer, context: &mut EventLoopContext) {
+        let removed = match peer {
+            Peer::Predecessor => self.predecessor.take(),
+            Peer::Successor => self.successor.take(),
+        };
+        let Some(mut link) = removed else { return };
+        let _ = context.poll.registry().deregister(&mut link.stream);
+        self.record_lost_process(peer, &link, context);
     }
-    let _ = context.poll.registry().deregister(&mut open_link.stream);
-    *link = None;
-    true
 }
--- a/proxy/src/net/reload.rs
+++ b/proxy/src/net/reload.rs
@@ -77,6 +77,7 @@
         // Open requests keep the timeouts that applied when they arrived.
         self.longest_client_timeout =
             longest_client_timeout(&new.deployment).max(longest_client_timeout(&self.config.deployment));
+        self.handover.set_longest_client_timeout(self.longest_client_timeout);
         self.apply_settings(&new);
         self.config = new;
         self.configure_health();
--- a/proxy/src/net/run_once.rs
+++ b/proxy/src/net/run_once.rs
@@ -68,6 +68,9 @@
                     self.checks.listener_ready(source);
                 }
                 Source::Check(key) => self.checks.serve(&mut self.context, key),
+                source @ (Source::HandoverListener | Source::Predecessor | Source::Successor) => {
+                    self.handle_handover(source);
+                }
                 _ => {}
             }
         }
@@ -81,18 +84,6 @@
             Source::ClientListener => self.clients.listener_ready(),
             Source::Signals => self.handle_signals(signals),
             Source::Discovery => self.handle_discovery(),
-            Source::HandoverListener => {
-                self.handover.accept(&mut self.context);
-                self.apply_handover_state();
-            }
-            Source::Predecessor => {
-                self.handover.predecessor_ready(&mut self.context);
-                self.apply_handover_state();
-            }
-            Source::Successor => {
-                self.handover.successor_ready(&mut self.context);
-                self.apply_handover_state();
-            }
             Source::Fleet => self.handle_fleet(),
             Source::GossipListener | Source::MembershipListener => self.accept_links(source),
             Source::Gossip(key) => self.handle_link(key),
@@ -109,8 +100,21 @@
             | Source::HttpListener
             | Source::AgentListener
             | Source::GrpcListener
-            | Source::Check(_) => {}
+            | Source::Check(_)
+            | Source::HandoverListener
+            | Source::Predecessor
+            | Source::Successor => {}
+        }
+    }
+
+    /// Serves the listener for the next process, or the link to another process of this proxy.
+    fn handle_handover(&mut self, source: Source) {
+        match source {
+            Source::Predecessor => self.handover.predecessor_ready(&mut self.context),
+            Source::Successor => self.handover.successor_ready(&mut self.context),
+            _ => self.handover.accept(&mut self.context),
         }
+        self.apply_handover_state();
     }
 
     /// Accepts links of other proxies after the listener became ready.
--- a/proxy/src/net/sources.rs
+++ b/proxy/src/net/sources.rs
@@ -98,7 +98,8 @@
     }
 
     /// Returns whether the source is served before all others, however many are ready. Operators and balancers have few
-    /// connections, and these matter most under load.
+    /// connections, and these matter most under load. Another process of this proxy reports writes that the reads of clients
+    /// have to see.
     pub(super) fn has_priority(self) -> bool {
         matches!(
             self,
@@ -108,6 +109,9 @@
                 | Source::AgentListener
                 | Source::GrpcListener
                 | Source::Check(_)
+                | Source::HandoverListener
+                | Source::Predecessor
+                | Source::Successor
         )
     }
 }
--- a/proxy/src/net/start.rs
+++ b/proxy/src/net/start.rs
@@ -32,11 +32,11 @@
 
 /// Connects to the predecessor of this process, if there is one, and listens for a successor. Does neither if this proxy
 /// does not share its listener.
-fn open_handover(poll: &Poll, address: SocketAddr, shared_listener: bool) -> ProcessHandover {
+fn open_handover(poll: &Poll, address: SocketAddr, shared_listener: bool, clock: Clock) -> ProcessHandover {
     if shared_listener {
-        ProcessHandover::connect_and_listen(poll.registry(), address)
+        ProcessHandover::connect_and_listen(poll.registry(), address, clock)
     } else {
-        ProcessHandover::default()
+        ProcessHandover::disabled(clock)
     }
 }
 
@@ -75,7 +75,9 @@
         let admin = AdminListener::new(poll.registry(), config.admin_address)?;
         // Only a proxy that shares its listener can run as two processes.
         let shared_listener = config.inherited_descriptor.is_some();
-        let handover = open_handover(&poll, address, shared_listener);
+        let mut handover = open_handover(&poll, address, shared_listener, clock);
+        let longest_client_timeout = longest_client_timeout(&config.deployment);
+        handover.set_longest_client_timeout(longest_client_timeout);
         let limits = ConnectionLimits::new(&config, &handover);
         let scratch = vec![0; SCRATCH_BYTES];
         let core = Core::new(&config.deployment, config.seed, now);
@@ -94,7 +96,7 @@
             background: None,
             health: HealthReporting::default(),
             handover,
-            longest_client_timeout: longest_client_timeout(&config.deployment),
+            longest_client_timeout,
             config,
             options,
             stopping: false,
@@ -126,6 +128,7 @@
             info!(event = "predecessor-connected");
         }
         self.apply_process_count();
+        self.handover.announce_session_writes(&mut self.context);
         self.context.timers.set(started_at + PERIODIC_TASK_INTERVAL_MICROS, TimerEvent::PeriodicTasks);
         self.discovery.start(&mut self.context);
         Ok(())
--- a/proxy/src/net/timer_dispatch.rs
+++ b/proxy/src/net/timer_dispatch.rs
@@ -34,12 +34,14 @@
             TimerEvent::StopAcceptingChecks | TimerEvent::OpenCheckListeners => {}
             TimerEvent::Gossip => self.advance_gossip(),
             TimerEvent::GossipSend(key, serial) => self.continue_gossip_send(key, serial),
+            TimerEvent::AnnounceSessionWrites => self.handover.announce_session_writes(context),
             TimerEvent::Fleet => self.handle_fleet_timer(),
             TimerEvent::Background => self.run_background(),
             TimerEvent::ShutdownNoticeEnded => self.schedule_client_shutdown(),
             TimerEvent::CloseIdleClients => self.close_idle_clients(),
             TimerEvent::Exit => {
                 info!(event = "stopped", open = context.core.open_request_count());
+                self.handover.announce_finished();
                 std::process::exit(0);
             }
         }
--- a/proxy/src/net/timer_events.rs
+++ b/proxy/src/net/timer_events.rs
@@ -40,6 +40,8 @@
     Gossip,
     /// The send budget allows the next part of a state transfer to another proxy.
     GossipSend(LinkKey, LinkSerial),
+    /// The next announcement to the other processes of this proxy is due, of the session writes that are reported.
+    AnnounceSessionWrites,
     /// A probe of a fleet member is due or has timed out.
     Fleet,
     /// Background work may be due.
--- a/proxy/src/net/timers.rs
+++ b/proxy/src/net/timers.rs
@@ -7,6 +7,7 @@
 
 /// The only clock of the event loop. It adds the monotonic time since the start to the Unix time of the start, so it
 /// never goes back.
+#[derive(Clone, Copy)]
 pub(super) struct Clock {
     started: Instant,
     started_unix: Micros,
--- a/proxy/src/outbox.rs
+++ b/proxy/src/outbox.rs
@@ -17,6 +17,11 @@
         &self.bytes[self.written..]
     }
 
+    /// Returns the number of bytes in the buffer, including written ones. It is zero once all bytes have been written.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Records that `count` pending bytes have been written.
     pub(crate) fn advance(&mut self, count: usize) {
         self.written = (self.written + count).min(self.bytes.len());
--- a/src/policy/required_position.rs
+++ b/src/policy/required_position.rs
@@ -7,6 +7,8 @@
 
 /// Maximum number of sessions whose positions are stored individually.
 const MAX_SESSIONS: usize = 65_536;
+/// A write has to be known this long after it was answered (`users/PROTOCOL.md`, "The rules on sockets").
+const MAX_WRITE_PROPAGATION_DELAY: Micros = 100_000;
 
 /// Commit positions of the last write of each session, used if requests do not carry them.
 #[derive(Default)]
@@ -15,14 +17,30 @@
     /// Highest position of the evicted sessions, which is used for each of them. Replicas reach it within
     /// moments.
     evicted: Option<Micros>,
+    /// Highest position of writes that another process of this proxy answered and did not report by session.
+    /// It applies to all sessions.
+    unreported: Option<Micros>,
+    /// Time until which all writes that other processes of this proxy answered are recorded. `None` while
+    /// there is no other process.
+    remote_writes_recorded_until: Option<Micros>,
 }
 
 impl SessionPositions {
-    /// Position of the last write of a session. For an unknown session, the highest position of the evicted
-    /// sessions.
-    fn get(&self, session: Option<SessionId>) -> Option<Micros> {
+    /// Position that a read of a session has to see if it arrives at this time. `None` if there is no known
+    /// write.
+    fn required_at(&self, now: Micros, session: Option<SessionId>) -> Option<Micros> {
+        if self.may_miss_remote_writes(now) {
+            return Some(now);
+        }
         let position = session.and_then(|session| self.by_session.get(&session).copied());
-        position.or(self.evicted)
+        position.or(self.evicted).max(self.unreported)
+    }
+
+    /// Whether another process may have answered a write that a read at this time has to see and that is not
+    /// recorded.
+    fn may_miss_remote_writes(&self, now: Micros) -> bool {
+        let recorded_until = self.remote_writes_recorded_until;
+        recorded_until.is_some_and(|until| until < now.saturating_sub(MAX_WRITE_PROPAGATION_DELAY))
     }
 
     /// Records a write of a session. Evicts all sessions if there are more than [`MAX_SESSIONS`].
@@ -61,14 +79,31 @@
         }
         match self.settings.session_positions {
             SessionPositionSource::FromRequest => request.last_write_position,
-            SessionPositionSource::FromObservedWrites => self.session_positions.get(request.session),
+            SessionPositionSource::FromObservedWrites => {
+                self.session_positions.required_at(self.now, request.session)
+            }
         }
     }
 
-    /// Records the commit position of a write, unless requests carry the positions.
-    pub(super) fn record_session_write(&mut self, session: SessionId, commit_position: Micros) {
+    /// Records the commit position of a write that this process or another process of this proxy answered,
+    /// unless requests carry the positions.
+    pub fn record_session_write(&mut self, session: SessionId, commit_position: Micros) {
         if self.settings.session_positions == SessionPositionSource::FromObservedWrites {
             self.session_positions.record(session, commit_position);
         }
     }
+
+    /// Requires this position for the reads of all sessions, because another process of this proxy answered
+    /// writes up to this position and did not report them by session.
+    pub fn require_session_position(&mut self, position: Micros) {
+        let unreported = &mut self.session_positions.unreported;
+        *unreported = (*unreported).max(Some(position));
+    }
+
+    /// Sets the time until which all writes that other processes of this proxy answered are recorded; `None`
+    /// if there is no other process. While this time is too long ago, session reads have to see everything
+    /// that was committed before their arrival.
+    pub fn set_remote_writes_recorded_until(&mut self, until: Option<Micros>) {
+        self.session_positions.remote_writes_recorded_until = until;
+    }
 }
--- a/test-support/src/database.rs
+++ b/test-support/src/database.rs
@@ -25,6 +25,15 @@
     primary: bool,
     /// Delay of statements by request class.
     delay_by_class: HashMap<String, Duration>,
+    /// If set, it applies no further commits and answers reads from this data.
+    paused: Option<PausedData>,
+}
+
+/// The data that a database had when it stopped to apply commits.
+#[derive(Clone, Debug)]
+struct PausedData {
+    position_ms: i64,
+    value_by_key: HashMap<String, String>,
 }
 
 /// The data that the databases of a group share: the rows, and how often the write of each request was executed.
@@ -79,8 +88,13 @@
         prints_statements: bool,
     ) -> io::Result<Database> {
         let listener = TcpListener::bind(address)?;
-        let behavior =
-            Mutex::new(Behavior { available: true, hung: false, primary, delay_by_class: HashMap::new() });
+        let behavior = Mutex::new(Behavior {
+            available: true,
+            hung: false,
+            primary,
+            delay_by_class: HashMap::new(),
+            paused: None,
+        });
         let inner = Inner {
             address: listener.local_addr()?,
             behavior,
@@ -135,6 +149,23 @@
         });
     }
 
+    /// Makes the database apply no further commits, until it is the primary: it answers reads from its present data and reports its
+    /// present position.
+    pub fn pause_replication(&self) {
+        let value_by_key = lock(&self.0.rows.value_by_key).clone();
+        let paused = PausedData { position_ms: now_ms(), value_by_key };
+        self.change_behavior(|behavior| behavior.paused = Some(paused));
+    }
+
+    /// The value of a key and the position, as the database has them.
+    fn value_and_position(&self, key: &str) -> (Option<String>, i64) {
+        let behavior = lock(&self.0.behavior);
+        match behavior.paused.as_ref().filter(|_| !behavior.primary) {
+            Some(paused) => (paused.value_by_key.get(key).cloned(), paused.position_ms),
+            None => (self.0.rows.value(key), now_ms()),
+        }
+    }
+
     /// Sleeps for the delay of the statement's request class, if one is set.
     fn sleep_for_delay(&self, query: &str) {
         let class = comment_field(query, "c=").unwrap_or_default();
@@ -148,19 +179,20 @@
         if self.0.prints_statements {
             println!("{}: {query}", if primary { "primary" } else { "replica" });
         }
-        let now = now_ms();
-        let answer = match quoted_strings(query)[..] {
-            _ if query == "SHOW usage" => usage_row(primary, now),
+        let strings = quoted_strings(query);
+        let (value, position) = self.value_and_position(strings.first().copied().unwrap_or_default());
+        let answer = match strings[..] {
+            _ if query == "SHOW usage" => usage_row(primary, position),
             [_, _, ..] if !primary => error_response("25006", "this is no primary"),
             [handle, blob, ..] => {
                 let id = comment_field(query, "id=").unwrap_or_default();
                 self.0.rows.write(handle, blob, id);
                 text_row(blob)
             }
-            [handle] => text_row(&self.0.rows.value(handle).unwrap_or("(no such row)".into())),
+            [_] => text_row(&value.unwrap_or("(no such row)".into())),
             [] => error_response("42601", "not a statement that is known here"),
         };
-        [answer, role_and_position(primary, now)].concat()
+        [answer, role_and_position(primary, position)].concat()
     }
 }
 
