Handover: a process that was stopped does not rely on an announcement from before the stop

Seen while looking for orders of events on the new path: a process that is held up after it has read its clock and before it reads a client takes the last announcement of the other process for recent, since it compares it with its own time of before the stop. A report that arrived meanwhile is still unread, and a session read of a client that came meanwhile reads older data than its write.

Cause: the core got the time of the turn (EventLoopContext::now) for a request. Beside another process it gets the clock's time after the statement was read (EventLoopContext::request_time), so that a stop before that time makes the announcement old. A proxy that runs alone reads the clock as before.

Test: a_process_that_was_stopped_before_it_reads_a_client_sees_writes_that_were_answered_meanwhile stops the process with a test hook between the poll and the client's input.

--- a/proxy/src/core/mod.rs
+++ b/proxy/src/core/mod.rs
@@ -71,6 +71,8 @@
     classes: ClassTable,
     observers: Observers,
     copy_locators: Vec<Rc<RefCell<dyn CopyLocator>>>,
+    /// Whether another process of this proxy may answer writes.
+    has_other_processes: bool,
     actions: Vec<Action>,
     commands: VecDeque<Command<P>>,
 }
@@ -92,6 +94,7 @@
             classes,
             observers: Observers::default(),
             copy_locators: Vec::new(),
+            has_other_processes: false,
             actions,
             commands: VecDeque::new(),
         };
--- a/proxy/src/core/session_writes.rs
+++ b/proxy/src/core/session_writes.rs
@@ -36,8 +36,14 @@
     /// Sets the time until which all writes that other processes of this proxy answered are recorded; `None` if there is no other
     /// process.
     pub(crate) fn set_remote_writes_recorded_until(&mut self, until: Option<Micros>) {
+        self.has_other_processes = until.is_some();
         self.router.set_remote_writes_recorded_until(until);
     }
+
+    /// Returns whether another process of this proxy may answer writes.
+    pub(crate) fn has_other_processes(&self) -> bool {
+        self.has_other_processes
+    }
 }
 
 /// Limits a position to the greatest that the clock skew allows, so that an invalid message does not keep reads from all replicas.
--- a/proxy/src/net/balancers.rs
+++ b/proxy/src/net/balancers.rs
@@ -125,11 +125,11 @@
             return;
         }
         self.health.handing_over = replaced;
-        let handover_at = replaced.then(|| self.clock.now() + HANDOVER_DELAY_MICROS);
+        let handover_at = replaced.then(|| self.context.clock.now() + HANDOVER_DELAY_MICROS);
         self.record_health_event(HealthEvent::HandoverAt(handover_at));
         match handover_at {
             Some(at) => {
-                let unix_at = at + self.clock.unix_offset();
+                let unix_at = at + self.context.clock.unix_offset();
                 self.handover.announce_stop_accepting(&mut self.context, unix_at);
                 self.context.timers.set(at, TimerEvent::StopAcceptingChecks);
             }
@@ -146,7 +146,7 @@
         }
         let ready_at = match self.handover.predecessor_stops_accepting_at() {
             Some(unix_at) => {
-                let at = unix_at - self.clock.unix_offset();
+                let at = unix_at - self.context.clock.unix_offset();
                 at.clamp(now, now + ANNOUNCEMENT_TIMEOUT_MICROS)
             }
             None if self.handover.has_predecessor() => return,
--- a/proxy/src/net/clients/turn.rs
+++ b/proxy/src/net/clients/turn.rs
@@ -242,7 +242,7 @@
             Err(error) => self.protocol.reject(error.sqlstate(), &error.to_string()),
             Ok(request) => {
                 let statement = StatementPayload::new(statement);
-                let id = context.core.request(context.now, key, request, statement.clone());
+                let id = context.core.request(context.request_time(), key, request, statement.clone());
                 self.open_request = Some(OpenRequest { id, statement });
             }
         }
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -48,7 +48,6 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::path::PathBuf;
-use timers::Clock;
 use tracing::info;
 
 /// The maximum number of events that one turn of the loop handles.
@@ -61,7 +60,6 @@
 
 /// The state of the event loop. Each field owns one subsystem. Calls between subsystems go through the loop.
 struct EventLoop {
-    clock: Clock,
     context: EventLoopContext,
     clients: Clients,
     pool: Pool,
--- a/proxy/src/net/process_handover/mod.rs
+++ b/proxy/src/net/process_handover/mod.rs
@@ -6,7 +6,6 @@
 
 use super::event_loop_context::EventLoopContext;
 use super::sources::Source;
-use super::timers::Clock;
 use crate::handover_protocol::HandoverMessage;
 use crate::hash::fnv1a;
 use crate::log::Quoted;
@@ -35,9 +34,10 @@
     }
 }
 
-/// The connections to other processes of this proxy.
+/// The connections to other processes of this proxy. The default has no connections and no listener, for a proxy that does not
+/// share its client listener.
+#[derive(Default)]
 pub(super) struct ProcessHandover {
-    clock: Clock,
     path: Option<PathBuf>,
     listener: Option<UnixListener>,
     predecessor: Option<ProcessLink>,
@@ -53,32 +53,12 @@
 }
 
 impl ProcessHandover {
-    /// Creates the state of a proxy that does not share its client listener. It has no connections and no listener.
-    pub(super) fn disabled(clock: Clock) -> ProcessHandover {
-        ProcessHandover {
-            clock,
-            path: None,
-            listener: None,
-            predecessor: None,
-            successor: None,
-            serving_announced: false,
-            lost: None,
-            announcement_timer_set: false,
-            longest_client_timeout: 0,
-        }
-    }
-
     /// Connects to the process that serves at this address, if there is one, and listens for a successor.
-    pub(super) fn connect_and_listen(
-        registry: &Registry,
-        address: SocketAddr,
-        clock: Clock,
-    ) -> ProcessHandover {
+    pub(super) fn connect_and_listen(registry: &Registry, address: SocketAddr) -> ProcessHandover {
         let name = format!("birchreach-{:016x}.sock", fnv1a(address.to_string().as_bytes()));
         let path = std::env::temp_dir().join(name);
         let predecessor = ProcessLink::connect(registry, &path);
-        let mut handover =
-            ProcessHandover { path: Some(path), predecessor, ..ProcessHandover::disabled(clock) };
+        let mut handover = ProcessHandover { path: Some(path), predecessor, ..ProcessHandover::default() };
         handover.listen(registry);
         handover
     }
--- a/proxy/src/net/process_handover/session_writes.rs
+++ b/proxy/src/net/process_handover/session_writes.rs
@@ -46,7 +46,7 @@
         self.announcement_timer_set = false;
         self.forget_ended_processes(context);
         for peer in [Peer::Predecessor, Peer::Successor] {
-            self.announce_to(peer, context.now);
+            self.announce_to(peer, context);
         }
         self.update_recorded_writes(context);
     }
@@ -83,7 +83,7 @@
         context: &mut EventLoopContext,
     ) {
         let now = context.now;
-        let clock_offset = self.clock.unix_offset();
+        let clock_offset = context.clock.unix_offset();
         let Some(link) = self.link_mut(peer) else { return };
         // Only the newer process starts without writes of its own.
         let answered_before = (peer == Peer::Successor).then_some(now);
@@ -103,7 +103,7 @@
                 link.writes_recorded_until = at.saturating_sub(clock_offset).min(now);
             }
             HandoverMessage::SessionWritesFinished => link.set_finished(),
-            HandoverMessage::SharesSessionWrites => self.announce_to(peer, now),
+            HandoverMessage::SharesSessionWrites => self.announce_to(peer, context),
             HandoverMessage::Serving
             | HandoverMessage::Stopping(_)
             | HandoverMessage::StopsAcceptingAt(_) => {}
@@ -119,9 +119,9 @@
     }
 
     /// Announces to a process until when all writes of this process and of those beyond it are reported.
-    fn announce_to(&mut self, peer: Peer, now: Micros) {
-        let recorded_until = self.writes_recorded_beyond(peer).min(now);
-        let reported_until = recorded_until.saturating_add(self.clock.unix_offset());
+    fn announce_to(&mut self, peer: Peer, context: &EventLoopContext) {
+        let recorded_until = self.writes_recorded_beyond(peer).min(context.now);
+        let reported_until = recorded_until.saturating_add(context.clock.unix_offset());
         if let Some(link) = self.link_mut(peer) {
             link.reports.announce(&mut link.protocol, reported_until);
             link.flush();
--- a/proxy/src/net/run_once.rs
+++ b/proxy/src/net/run_once.rs
@@ -5,6 +5,7 @@
 use super::error::EventLoopError;
 use super::ids::LinkKey;
 use super::sources::Source;
+use super::test_hooks::{self, StopPoint};
 use birchreach::Micros;
 use mio::Events;
 use mio::event::Event;
@@ -40,7 +41,7 @@
 
     /// Waits for events until the next timer is due, and reads the clock. Does not wait if there is unfinished work.
     fn wait_for_events(&mut self, events: &mut Events) -> Result<(), EventLoopError> {
-        let waiting_since = self.clock.now();
+        let waiting_since = self.context.clock.now();
         let has_work = self.has_unfinished_work(waiting_since);
         let timeout =
             if has_work { Some(Duration::ZERO) } else { self.context.timers.time_until_next(waiting_since) };
@@ -48,7 +49,7 @@
             Err(error) if error.kind() != ErrorKind::Interrupted => return Err(EventLoopError::Poll(error)),
             _ => {}
         }
-        self.context.now = self.clock.now();
+        self.context.now = self.context.clock.now();
         self.health.idle_time += if has_work { 0 } else { self.context.now - waiting_since };
         Ok(())
     }
@@ -88,6 +89,7 @@
             Source::GossipListener | Source::MembershipListener => self.accept_links(source),
             Source::Gossip(key) => self.handle_link(key),
             Source::Client(key) => {
+                test_hooks::stop_process_at(StopPoint::ClientReady);
                 if event.is_read_closed() || event.is_error() {
                     self.clients.peer_closed(key);
                 }
@@ -183,7 +185,7 @@
 
     /// Reads the clock again after the events, and handles the timers that are due.
     fn handle_due_timers(&mut self) {
-        self.context.now = self.clock.now();
+        self.context.now = self.context.clock.now();
         while let Some(due) = self.context.timers.pop_due(self.context.now) {
             self.handle_timer(due);
             self.execute_commands();
--- a/proxy/src/net/start.rs
+++ b/proxy/src/net/start.rs
@@ -32,11 +32,11 @@
 
 /// Connects to the predecessor of this process, if there is one, and listens for a successor. Does neither if this proxy
 /// does not share its listener.
-fn open_handover(poll: &Poll, address: SocketAddr, shared_listener: bool, clock: Clock) -> ProcessHandover {
+fn open_handover(poll: &Poll, address: SocketAddr, shared_listener: bool) -> ProcessHandover {
     if shared_listener {
-        ProcessHandover::connect_and_listen(poll.registry(), address, clock)
+        ProcessHandover::connect_and_listen(poll.registry(), address)
     } else {
-        ProcessHandover::disabled(clock)
+        ProcessHandover::default()
     }
 }
 
@@ -75,7 +75,7 @@
         let admin = AdminListener::new(poll.registry(), config.admin_address)?;
         // Only a proxy that shares its listener can run as two processes.
         let shared_listener = config.inherited_descriptor.is_some();
-        let mut handover = open_handover(&poll, address, shared_listener, clock);
+        let mut handover = open_handover(&poll, address, shared_listener);
         let longest_client_timeout = longest_client_timeout(&config.deployment);
         handover.set_longest_client_timeout(longest_client_timeout);
         let limits = ConnectionLimits::new(&config, &handover);
@@ -84,8 +84,7 @@
         let (settings, seed) = (&config.deployment.routing, config.seed);
         let clients = Clients::new(poll.registry(), listener, limits.clients)?;
         Ok(EventLoop {
-            clock,
-            context: EventLoopContext { now, poll, timers: Timers::new(), core, scratch },
+            context: EventLoopContext { clock, now, poll, timers: Timers::new(), core, scratch },
             clients,
             pool: Pool::new(&config.deployment, limits.databases),
             discovery: DiscoveryConnection::new(config.discovery_address, known_revision, settings, seed),
--- a/proxy/src/net/test_hooks.rs
+++ b/proxy/src/net/test_hooks.rs
@@ -4,6 +4,8 @@
 /// The points at which the process can stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum StopPoint {
+    /// A client's socket is ready, and its input has not been read yet.
+    ClientReady,
     /// A client was idle for too long, and its final read has not happened yet.
     CloseExpired,
     /// A client is about to be shed, and its final read has not happened yet.
@@ -19,6 +21,7 @@
     use std::sync::atomic::{AtomicBool, Ordering};
     static STOPPED: AtomicBool = AtomicBool::new(false);
     let name = match point {
+        StopPoint::ClientReady => "client",
         StopPoint::CloseExpired => "sweep",
         StopPoint::Shed => "shed",
         StopPoint::CloseIdleClients => "leave",
--- a/proxy/tests/handover/main.rs
+++ b/proxy/tests/handover/main.rs
@@ -6,7 +6,7 @@
 mod rig;
 
 use birchreach_test_support::process::MAX_WAIT;
-use rig::{HandoverRig, OtherProcess, session_of, unix_micros};
+use rig::{HandoverRig, OtherProcess, session_of, unix_micros, written_value};
 use std::time::{Duration, Instant};
 
 /// Longer than the time after which a process no longer relies on the last announcement.
@@ -88,6 +88,34 @@
     }
 }
 
+/// A stopped process does not read what has arrived on the link in the meantime. Its time of before the stop must not make the last
+/// announcement look recent.
+#[test]
+fn a_process_that_was_stopped_before_it_reads_a_client_sees_writes_that_were_answered_meanwhile() {
+    // Given a process that relies on announcements, and stops itself when a client has sent something
+    let mut rig = HandoverRig::new(11);
+    let unlinked = rig.start_unlinked_process();
+    rig.stop_processes_at_client_input();
+    let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
+    let process = rig.process(1);
+    assert_eq!(predecessor.read_line(), "yields 0");
+    predecessor.send_current();
+    assert_eq!(predecessor.read_line(), "serving");
+    let is_announced = |line: &str| line.starts_with("current ");
+    assert!(is_announced(&predecessor.read_line()), "the process has read the announcement");
+    predecessor.send_current();
+    let mut client = rig.connect_and_wait_until_stopped(&process);
+    // When the predecessor answers a write while the process is stopped, and the session then reads
+    std::thread::sleep(LATE);
+    rig.write_through(&unlinked, "meanwhile");
+    let read = "SELECT blob FROM rows WHERE handle = 'meanwhile' /* id=f1,c=own,d=20000,cluster=0 */";
+    client.send_statement(read).unwrap();
+    process.signal("CONT");
+    // Then the read sees the write
+    client.read_reply().unwrap();
+    assert_eq!(client.read_reply().unwrap(), written_value());
+}
+
 /// An earlier version sends no announcements, and closes the link at a message that it does not know.
 #[test]
 fn beside_a_predecessor_of_an_earlier_version_session_reads_see_all_writes() {
--- a/proxy/tests/handover/rig.rs
+++ b/proxy/tests/handover/rig.rs
@@ -107,15 +107,23 @@
         Client::connect(self.address()).unwrap()
     }
 
+    /// Begins to connect a client, whose input the process does not read before it is continued, and waits until the process has
+    /// stopped itself at the input. The rig must have been told to stop its processes there.
+    pub(crate) fn connect_and_wait_until_stopped(&self, process: &Process) -> Client {
+        let client = Client::start_connecting(self.address()).unwrap();
+        wait_until_stopped(process);
+        client
+    }
+
+    /// Makes each process that is started from now on stop itself when the first input of a client has arrived.
+    pub(crate) fn stop_processes_at_client_input(&mut self) {
+        self.rig.stop_at = Some("client");
+    }
+
     /// Connects a client to another process than this one, which is stopped meanwhile and so cannot accept it.
     pub(crate) fn connect_while_stopped(&self, process: &Process) -> Client {
         process.signal("STOP");
-        let stat_path = format!("/proc/{}/stat", process.pid());
-        let start = Instant::now();
-        while !std::fs::read_to_string(&stat_path).unwrap().contains(") T ") {
-            assert!(start.elapsed() < MAX_WAIT, "the process has not stopped");
-            std::thread::sleep(Duration::from_millis(1));
-        }
+        wait_until_stopped(process);
         let client = self.connect();
         process.signal("CONT");
         client
@@ -130,7 +138,17 @@
     /// Writes the row of a session through a process that is not linked to the others. It stands for a write that another process
     /// of the proxy has answered.
     pub(crate) fn write_elsewhere(&self, session: &str) {
-        let process = self.start(UNLINKED_PROCESS, None);
+        let process = self.start_unlinked_process();
+        self.write_through(&process, session);
+    }
+
+    /// Starts a process that is not linked to the others.
+    pub(crate) fn start_unlinked_process(&self) -> Process {
+        self.start(UNLINKED_PROCESS, None)
+    }
+
+    /// Writes the row of a session through this process.
+    pub(crate) fn write_through(&self, process: &Process, session: &str) {
         let mut client = Client::connect(process.client_address().unwrap()).unwrap();
         self.write(&mut client, session);
     }
@@ -151,8 +169,18 @@
     }
 }
 
+/// Waits until a process is in the stopped state, `T` in `/proc`.
+fn wait_until_stopped(process: &Process) {
+    let stat_path = format!("/proc/{}/stat", process.pid());
+    let start = Instant::now();
+    while !std::fs::read_to_string(&stat_path).unwrap().contains(") T ") {
+        assert!(start.elapsed() < MAX_WAIT, "the process has not stopped");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// The reply to a write, and to a read that sees it.
-fn written_value() -> Reply {
+pub(crate) fn written_value() -> Reply {
     Reply::Served(format!("\\x{VALUE_HEX}").into_bytes())
 }
 
--- a/test-support/src/client.rs
+++ b/test-support/src/client.rs
@@ -42,14 +42,19 @@
 impl Client {
     /// Connects and completes the startup exchange.
     pub fn connect(address: SocketAddr) -> io::Result<Client> {
+        let mut client = Client::start_connecting(address)?;
+        client.read_reply()?;
+        Ok(client)
+    }
+
+    /// Connects and sends the startup message without waiting for its reply, which the caller has to read.
+    pub fn start_connecting(address: SocketAddr) -> io::Result<Client> {
         let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(REPLY_TIMEOUT))?;
         let body = [&PROTOCOL_VERSION.to_be_bytes()[..], b"user\0api\0database\0ledger\0\0"].concat();
         stream.write_all(&[&(body.len() as u32 + 4).to_be_bytes()[..], &body].concat())?;
-        let mut client = Client { stream };
-        client.read_reply()?;
-        Ok(client)
+        Ok(Client { stream })
     }
 
     /// Reads the row that [`Client::write`] writes. `deadline_ms` is the request's deadline in milliseconds.
@@ -103,13 +108,18 @@
 
     /// Sends one statement and reads its complete reply.
     pub fn run_statement(&mut self, text: &str) -> io::Result<Reply> {
-        let body = [text.as_bytes(), b"\0"].concat();
-        self.stream.write_all(&message(QUERY, &body))?;
+        self.send_statement(text)?;
         self.read_reply()
     }
 
+    /// Sends one statement without waiting for its reply.
+    pub fn send_statement(&mut self, text: &str) -> io::Result<()> {
+        let body = [text.as_bytes(), b"\0"].concat();
+        self.stream.write_all(&message(QUERY, &body))
+    }
+
     /// Reads messages up to ReadyForQuery and returns the row or error among them.
-    fn read_reply(&mut self) -> io::Result<Reply> {
+    pub fn read_reply(&mut self) -> io::Result<Reply> {
         let mut reply = Reply::Served(Vec::new());
         loop {
             let mut head = [0; 5];
--- a/test-support/src/process.rs
+++ b/test-support/src/process.rs
@@ -37,6 +37,8 @@
     pub inherited_listener: Option<&'a TcpListener>,
     /// The limit on open file descriptors (`ulimit -n`); `None` keeps the test's own limit.
     pub max_descriptors: Option<u32>,
+    /// The point at which a debug build of the program stops itself once; `None` lets it run.
+    pub stop_at: Option<&'a str>,
 }
 
 /// A running process. Dropping this handle kills the process.
@@ -69,6 +71,9 @@
         }
         let mut command = Command::new("/bin/sh");
         command.env("RELAY_CONFIG", &config).env("TMPDIR", &tmp).stderr(Stdio::piped()).stdin(Stdio::null());
+        if let Some(point) = settings.stop_at {
+            command.env("BIRCHREACH_TEST_STOP_AT", point);
+        }
         if let Some(listener) = settings.inherited_listener {
             shell += " 3<&0 </dev/null";
             command.stdin(Stdio::from(OwnedFd::from(listener.try_clone()?))).env("RELAY_INHERITED_FD", "3");
--- a/test-support/src/rig.rs
+++ b/test-support/src/rig.rs
@@ -54,6 +54,8 @@
     next_port: AtomicU16,
     /// The limit on descriptors in the configuration of proxies that are started after it is set.
     pub max_descriptors: u32,
+    /// The point at which each proxy that is started after it is set stops itself once.
+    pub stop_at: Option<&'static str>,
     /// If set, proxies use these instead of the rig's own discovery service and settings.
     pub external_discovery: Option<ExternalDiscovery>,
 }
@@ -86,6 +88,7 @@
             loopback_address,
             next_port: AtomicU16::new(first_port()),
             max_descriptors: 1024,
+            stop_at: None,
             external_discovery: None,
         })
     }
@@ -160,6 +163,7 @@
             options,
             inherited_listener,
             max_descriptors: Some(self.max_descriptors + EXTRA_DESCRIPTORS),
+            stop_at: self.stop_at,
         })
     }
 
