Pool: do not write the rest of a statement whose attempt may no longer be sent

Seen while looking for other paths on which a decision is acted upon later: a statement that its socket takes only in part is finished when the database reads on, whatever has happened since. A database executes it once its last byte arrives, and an attempt counts from then. So a write could begin long after its client had gone (where the settings forbid cancellation), and a repeat after its window.

Cause: Pool::send_query asks Pool::may_send once, before the first byte; Pool::handle_ready wrote the rest without asking. It now asks again while a statement is incomplete, and closes the connection if the attempt may not be sent: the statement stays incomplete and never runs. A statement that was written at once, as every small one is, is not asked about a second time.

Test: the_rest_of_a_statement_is_not_written_once_its_request_is_finished, with socket buffers of 16 KiB.

--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -12,6 +12,8 @@
 mod query;
 mod responses;
 mod socket_io;
+#[cfg(test)]
+mod tests;
 
 use super::event_loop_context::EventLoopContext;
 use super::ids::{ConnectionKey, ConnectionSerial, QuerySerial};
--- a/proxy/src/net/pool/query.rs
+++ b/proxy/src/net/pool/query.rs
@@ -6,7 +6,7 @@
 use super::Pool;
 use super::background_queries::BACKGROUND_QUERY_TIMEOUT_MICROS;
 use super::close_reason::DatabaseCloseReason;
-use super::connection::{AttemptTask, ConnectionTask, QueryProgress};
+use super::connection::{AttemptTask, ConnectionState, ConnectionTask, QueryProgress};
 use crate::reply::Reply;
 use crate::units::MICROS_PER_MILLI;
 use birchreach::{AttemptOutcome, Micros};
@@ -46,12 +46,28 @@
         self.write(context, key);
     }
 
-    /// Returns whether an attempt may still be sent. While the connection was opened, the deadline may have passed, or the core
-    /// may have found that the send is no longer allowed.
+    /// Returns whether an attempt may still be sent. While the connection was opened or took no bytes, the deadline may have passed,
+    /// or the core may have found that the send is no longer allowed.
     fn may_send(context: &EventLoopContext, task: &AttemptTask) -> bool {
         task.deadline > context.now && context.core.may_still_send(context.now, task.attempt)
     }
 
+    /// Withdraws an attempt whose statement was written only in part, if it may no longer be sent: the database would execute it
+    /// once its last byte arrives. Closes the connection, so that the statement stays incomplete.
+    pub(super) fn withdraw_partial_statement(
+        &mut self,
+        context: &mut EventLoopContext,
+        key: ConnectionKey,
+    ) -> ConnectionState {
+        let connection = &self.connections[key];
+        let Some(ConnectionTask::Attempt(task)) = &connection.task else { return ConnectionState::Open };
+        if connection.query != QueryProgress::Queued || Self::may_send(context, task) {
+            return ConnectionState::Open;
+        }
+        self.cancel_attempt(context, task.attempt);
+        ConnectionState::Closed
+    }
+
     /// Puts an attempt's statement into the output, with the time that remains until its deadline.
     fn queue_statement(&mut self, context: &EventLoopContext, key: ConnectionKey, task: &AttemptTask) {
         let protocol = &mut self.connections[key].protocol;
--- a/proxy/src/net/pool/socket_io.rs
+++ b/proxy/src/net/pool/socket_io.rs
@@ -16,6 +16,9 @@
         if !self.connections.contains(key) {
             return;
         }
+        if self.withdraw_partial_statement(context, key) == ConnectionState::Closed {
+            return;
+        }
         if self.write(context, key) == ConnectionState::Open {
             self.read(context, key);
         }
