Pool: no background statement to a database that has begun to drain

Cause: Pool::send_query asked only for attempts whether they may still be sent. It now asks the router for background statements too (Router::accepts_work). The work ends as not sent, and its owner starts it anew elsewhere, as after any failure.

Test: no_background_statement_is_sent_to_a_database_that_has_begun_to_drain, which failed before ("assertion `left == right` failed: a statement was sent / left: 1 / right: 0").

--- a/proxy/src/core/copies.rs
+++ b/proxy/src/core/copies.rs
@@ -50,6 +50,11 @@
         self.router.background_candidate(group, write, yields_to_clients)
     }
 
+    /// Returns whether a server may be sent new work according to the endpoint list.
+    pub(crate) fn accepts_work(&self, server: ServerId) -> bool {
+        self.router.accepts_work(server)
+    }
+
     /// Returns the consistency of each class, indexed by class number.
     pub(crate) fn consistencies(&self) -> Vec<Consistency> {
         self.classes.consistencies()
--- a/proxy/src/net/pool/query.rs
+++ b/proxy/src/net/pool/query.rs
@@ -12,21 +12,25 @@
 use birchreach::{AttemptOutcome, Micros};
 
 impl Pool {
-    /// Sends the task's query on an established, idle connection. An attempt that may no longer be sent is completed as not sent.
+    /// Sends the task's query on an established, idle connection. An attempt or a background query that may no longer be sent is
+    /// completed as not sent.
     pub(super) fn send_query(
         &mut self,
         context: &mut EventLoopContext,
         key: ConnectionKey,
         task: ConnectionTask,
     ) {
+        let may_send = match &task {
+            ConnectionTask::Attempt(attempt) => Self::may_send(context, attempt),
+            ConnectionTask::BackgroundQuery(_) => context.core.accepts_work(self.connections[key].server),
+            ConnectionTask::HealthCheck { .. } | ConnectionTask::MonitorCheck { .. } => true,
+        };
+        if !may_send {
+            self.return_to_idle(context, key);
+            return self.complete_task(context, task, Reply::with_outcome(AttemptOutcome::NotSent));
+        }
         match &task {
-            ConnectionTask::Attempt(attempt) => {
-                if !Self::may_send(context, attempt) {
-                    self.return_to_idle(context, key);
-                    return self.complete_task(context, task, Reply::with_outcome(AttemptOutcome::NotSent));
-                }
-                self.queue_statement(context, key, attempt);
-            }
+            ConnectionTask::Attempt(attempt) => self.queue_statement(context, key, attempt),
             ConnectionTask::BackgroundQuery(query) => {
                 self.connections[key].protocol.send_background_query(query.current_statement());
                 self.start_query_timer(context, key, BACKGROUND_QUERY_TIMEOUT_MICROS);
--- a/proxy/src/net/pool/tests.rs
+++ b/proxy/src/net/pool/tests.rs
@@ -3,9 +3,10 @@
 use super::super::timers::{Clock, Timers};
 use super::connection::QueryProgress;
 use super::*;
+use crate::background_query::BackgroundQueryId;
 use crate::core::{ClientKey, Command, Core, RoutingRequest};
 use crate::pg::statement::Statement;
-use birchreach::{ClassId, GroupId, RequestId};
+use birchreach::{AttemptOutcome, ClassId, GroupId, RequestId};
 use mio::{Events, Poll};
 use serde_json::Value as Json;
 use std::io::{Read, Write};
@@ -154,3 +155,26 @@
     assert!(received < 2 * VALUE_BYTES, "the database has received {received} bytes");
     assert_eq!(fixture.context.core.attempts_in_flight(), 0, "the attempt has its result");
 }
+
+/// Background work goes on for several statements, or waits for its connection, while its database begins to drain.
+#[test]
+fn no_background_statement_is_sent_to_a_database_that_has_begun_to_drain() {
+    // Given background statements that wait for a connection
+    let mut fixture = Fixture::new();
+    let server = ServerId(0);
+    let statements = vec![b"SELECT 1".to_vec(); 2];
+    fixture.pool.start_background_query(&mut fixture.context, BackgroundQueryId(7), server, statements);
+    // When the database begins to drain before the connection is established
+    fixture.list_database("draining");
+    let database = fixture.accept();
+    while !fixture.pool.has_completed_queries() {
+        fixture.serve();
+        database.set_nonblocking(true).unwrap();
+        let received = database.peek(&mut [0]).unwrap_or(0);
+        assert_eq!(received, 0, "a statement was sent");
+    }
+    // Then no statement is sent
+    let results = fixture.pool.take_completed_queries();
+    assert_eq!(results[0].replies.last().unwrap().outcome, AttemptOutcome::NotSent);
+    assert!(!results[0].complete);
+}
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -175,6 +175,11 @@
         self.servers.contains(&id)
     }
 
+    /// Whether the server may be sent new work according to the endpoint list.
+    pub fn accepts_work(&self, id: ServerId) -> bool {
+        self.accepting_server(id).is_some()
+    }
+
     /// Whether the server is sent no new requests at this time. This is the case if it accepts no work, for
     /// instance because it is draining, or if it is ejected and not due for a retry. An ejected primary still
     /// receives writes while it is responsive.
