Handover: the two processes of a proxy tell each other of the roles that servers confirm

Seen while looking for what else one process knows and the other has to honour: after a failover that the endpoint list does not show (`role_in_list` late or start), a new process took the listed, former primary for the primary, although a response had told the old process that it is a replica. Its reads, session reads of fresh writes among them, were served from the former primary's old data until a response told the new process too.

Cause: roles (ReplicationState, src/policy/replication.rs) are known to the process that got the response alone. Each process now reports on the link: to a successor that understands it, the servers whose confirmed role differs from the list, and then each change (`replica T UID`, `primary T UID`, with the time of the confirmation, so that the latest one counts at either side). A primary whose process was restarted since is not believed. A process that replaces another one accepts clients, and takes over, once the other one has told it what it knew before, or after 1 s (an earlier version tells nothing). The longest line is 264 bytes instead of 64, since a line may hold a uid of up to 200.

--- a/proxy/src/core/attempts.rs
+++ b/proxy/src/core/attempts.rs
@@ -71,7 +71,9 @@
             status,
             load_report: discard_if_in_future(load_report, now),
         };
+        let previous_role = self.role_to_share(server);
         self.handle(now, Event::AttemptCompleted(result));
+        self.share_changed_role(server, previous_role);
     }
 
     /// Decrements the number of attempts in flight for the request.
--- a/proxy/src/core/command.rs
+++ b/proxy/src/core/command.rs
@@ -83,6 +83,8 @@
     HealthCheck { server: ServerId },
     /// Report a committed write of a session to the other processes of this proxy.
     ShareSessionWrite { session: SessionId, position: Micros },
+    /// Report the role that a server has confirmed to the other processes of this proxy.
+    ShareRole { server: ServerId },
     /// Send a client its answer.
     Answer { client: ClientKey, request: RequestId, answer: Answer },
     /// Start to stream a long value. Chunks follow, and then [`Answer::Streamed`] or [`Command::AbortStream`].
--- a/proxy/src/core/endpoints.rs
+++ b/proxy/src/core/endpoints.rs
@@ -21,6 +21,11 @@
         self.servers.listed.is_empty() || self.servers.group_sizes.contains_key(&group)
     }
 
+    /// Returns whether the endpoint list contains servers.
+    pub(crate) fn lists_servers(&self) -> bool {
+        self.servers.listed_servers().next().is_some()
+    }
+
     /// Returns the name of a server in the endpoint list, for the log. The name of an unknown server is `?`.
     pub(crate) fn server_name(&self, server: ServerId) -> &str {
         self.servers.name(server)
@@ -43,6 +48,7 @@
         self.notify_listed(now, &endpoints);
         self.handle(now, Event::EndpointsChanged(EndpointList { complete: update.complete, endpoints }));
         self.drop_unknown_servers();
+        self.record_roles_of_listed_servers(now);
         moved
     }
 
--- a/proxy/src/core/mod.rs
+++ b/proxy/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod classes;
 mod command;
+mod confirmed_roles;
 mod copies;
 mod endpoints;
 mod health_checks;
@@ -17,7 +18,7 @@
 
 use crate::observe::{CopyLocator, Observers};
 use crate::stats::{Gauges, Stats};
-use birchreach::{Action, ClassId, Event, GroupId, Micros, RequestId, Router, ServerId, SessionId};
+use birchreach::{Action, ClassId, Event, GroupId, Micros, RequestId, Role, Router, ServerId, SessionId};
 use birchreach_settings::DeploymentSettings;
 use classes::ClassTable;
 pub(crate) use command::{
@@ -71,6 +72,8 @@
     classes: ClassTable,
     observers: Observers,
     copy_locators: Vec<Rc<RefCell<dyn CopyLocator>>>,
+    /// Roles that servers confirmed to another process of this proxy, by uid, while this process does not know the servers.
+    unlisted_roles: HashMap<String, (Role, Micros)>,
     /// Whether another process of this proxy may answer writes.
     has_other_processes: bool,
     actions: Vec<Action>,
@@ -94,6 +97,7 @@
             classes,
             observers: Observers::default(),
             copy_locators: Vec::new(),
+            unlisted_roles: HashMap::new(),
             has_other_processes: false,
             actions,
             commands: VecDeque::new(),
--- a/proxy/src/core/server_table.rs
+++ b/proxy/src/core/server_table.rs
@@ -18,7 +18,7 @@
     uid: String,
     pub(super) address: Option<SocketAddr>,
     pub(super) group: GroupId,
-    primary: Option<bool>,
+    pub(super) primary: Option<bool>,
     up: bool,
     started_ms: Option<i64>,
     pub(super) removed: bool,
--- a/proxy/src/handover_protocol.rs
+++ b/proxy/src/handover_protocol.rs
@@ -6,16 +6,16 @@
 mod tests;
 
 use crate::outbox::Outbox;
-use birchreach::SessionId;
+use birchreach::{Role, SessionId};
 use std::error::Error;
 use std::fmt::{self, Display};
 use std::str::FromStr;
 
-/// The most bytes that may arrive before the end of a line.
-const MAX_LINE_BYTES: usize = 64;
+/// The most bytes that may arrive before the end of a line. Only the roles of servers need more than 64.
+const MAX_LINE_BYTES: usize = MAX_UID_BYTES + 64;
 
 /// A message to the other process. The words on the wire must not change, because the other process may run an earlier version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum HandoverMessage {
     /// `serving`: the newer process accepts clients.
     Serving,
@@ -37,8 +37,31 @@
     SessionWritesReportedUntil(i64),
     /// `finished`: the sender, and the processes beyond it, answer no further writes.
     SessionWritesFinished,
+    /// `primary T U` or `replica T U`: the server with the uid `U` has confirmed this role in a response at the time `T`, in Unix
+    /// microseconds of the system's clock.
+    RoleConfirmed(ConfirmedRole),
+}
+
+/// A role that a server has confirmed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ConfirmedRole {
+    /// The uid of the server in the endpoint list.
+    pub uid: String,
+    pub role: Role,
+    /// When the server confirmed the role, in Unix microseconds of the system's clock.
+    pub confirmed_at: i64,
+}
+
+impl ConfirmedRole {
+    /// Returns whether the role fits into a line that is read back as the same role.
+    fn is_sendable(&self) -> bool {
+        let uid = self.uid.as_str();
+        uid.len() <= MAX_UID_BYTES && uid.trim() == uid && !uid.contains(['\n', '\r'])
+    }
 }
 
+/// The longest uid of a server that a line contains.
+const MAX_UID_BYTES: usize = 200;
 /// The time of the line `yields` that stands for [`HandoverMessage::SharesSessionWrites`].
 const SHARES_SESSION_WRITES_TIME: i64 = 0;
 
@@ -91,6 +114,12 @@
             HandoverMessage::SessionWritesMissed(position) => format!("missed {position}\n"),
             HandoverMessage::SessionWritesReportedUntil(unix_micros) => format!("current {unix_micros}\n"),
             HandoverMessage::SessionWritesFinished => "finished\n".to_string(),
+            HandoverMessage::RoleConfirmed(ConfirmedRole { uid, role: Role::Primary, confirmed_at }) => {
+                format!("primary {confirmed_at} {uid}\n")
+            }
+            HandoverMessage::RoleConfirmed(ConfirmedRole { uid, role: Role::Replica, confirmed_at }) => {
+                format!("replica {confirmed_at} {uid}\n")
+            }
         };
         self.outbox.append(line.as_bytes());
     }
@@ -111,10 +140,19 @@
         Some(("current", unix_micros)) => {
             parse_number(unix_micros).map(HandoverMessage::SessionWritesReportedUntil)
         }
+        Some(("primary", confirmed)) => parse_role(Role::Primary, confirmed),
+        Some(("replica", confirmed)) => parse_role(Role::Replica, confirmed),
         _ => Err(InvalidMessage),
     }
 }
 
+/// Parses the time and the server of a confirmed role.
+fn parse_role(role: Role, confirmed: &str) -> Result<HandoverMessage, InvalidMessage> {
+    let (confirmed_at, uid) = confirmed.split_once(' ').ok_or(InvalidMessage)?;
+    let confirmed_at = parse_number(confirmed_at)?;
+    Ok(HandoverMessage::RoleConfirmed(ConfirmedRole { uid: uid.to_string(), role, confirmed_at }))
+}
+
 /// Parses the session and the position of a write.
 fn parse_session_write(write: &str) -> Result<HandoverMessage, InvalidMessage> {
     let (session, position) = write.split_once(' ').ok_or(InvalidMessage)?;
--- a/proxy/src/handover_protocol/session_write_reports.rs
+++ b/proxy/src/handover_protocol/session_write_reports.rs
@@ -1,9 +1,10 @@
-//! Reports of the session writes that this process answers, to another process of this proxy.
+//! Reports of the session writes that this process answers, and of the roles that servers confirm to it, to another process of this
+//! proxy.
 
 #[cfg(test)]
 mod tests;
 
-use super::{HandoverMessage, HandoverProtocol};
+use super::{ConfirmedRole, HandoverMessage, HandoverProtocol};
 use birchreach::{Micros, SessionId};
 
 /// The most bytes of the output buffer of a link. Writes are not reported one by one while it is full.
@@ -36,6 +37,14 @@
         }
     }
 
+    /// Reports the confirmed role of a server. Left out if that is not possible now: the other process then learns the role from the
+    /// server's next response.
+    pub(crate) fn report_role(&self, protocol: &mut HandoverProtocol, role: ConfirmedRole) {
+        if self.active && has_space(protocol) && role.is_sendable() {
+            protocol.send(HandoverMessage::RoleConfirmed(role));
+        }
+    }
+
     /// Adds writes up to this position to those that the next [`SessionWriteReports::announce`] covers.
     pub(crate) fn add_missed(&mut self, position: Micros) {
         self.missed = self.missed.max(Some(position));
--- a/proxy/src/net/balancers.rs
+++ b/proxy/src/net/balancers.rs
@@ -59,9 +59,12 @@
         Ok(())
     }
 
-    /// Announces to the predecessor, if there is one, that this process serves. The predecessor then hands over its
-    /// clients and balancers.
+    /// Announces to the predecessor, if there is one, that this process serves, once this process has an endpoint list and
+    /// knows what the predecessor knows. The predecessor then hands over its clients and balancers.
     pub(super) fn take_over_from_predecessor(&mut self) {
+        if self.handover.awaits_predecessor() || !self.context.core.lists_servers() {
+            return;
+        }
         if self.handover.announce_serving(&mut self.context) {
             self.set_ready_at(self.context.now + ANNOUNCEMENT_TIMEOUT_MICROS);
             self.apply_handover_state();
--- a/proxy/src/net/clients/accept.rs
+++ b/proxy/src/net/clients/accept.rs
@@ -37,6 +37,7 @@
             && !self.accept_paused
             && !self.handing_over
             && !self.awaiting_peer_state
+            && !self.awaiting_predecessor
             && self.listener.is_some()
     }
 
--- a/proxy/src/net/clients/mod.rs
+++ b/proxy/src/net/clients/mod.rs
@@ -48,6 +48,7 @@
     handing_over: bool,
     /// No client is accepted until other proxies have sent their state, or the requests for it have failed.
     awaiting_peer_state: bool,
+    awaiting_predecessor: bool,
     /// Clients whose last turn reached its limits before all work was done.
     turn_incomplete: Vec<ClientKey>,
     /// Attempts that can continue to read their streamed values, because all bytes that they have read were written to the
@@ -86,6 +87,7 @@
             shutting_down: false,
             handing_over: false,
             awaiting_peer_state: false,
+            awaiting_predecessor: false,
             turn_incomplete: Vec::new(),
             attempts_to_resume: Vec::new(),
             reserve_descriptor: open_reserve_descriptor(),
@@ -115,6 +117,11 @@
         self.awaiting_peer_state = awaiting;
     }
 
+    /// Sets whether the predecessor has still to report what it knows. No client is accepted before.
+    pub(super) fn set_awaiting_predecessor(&mut self, awaiting: bool) {
+        self.awaiting_predecessor = awaiting;
+    }
+
     /// Returns whether work is left that the poll will not report again.
     pub(super) fn has_pending_work(&self) -> bool {
         self.can_accept() || !self.turn_incomplete.is_empty()
--- a/proxy/src/net/commands.rs
+++ b/proxy/src/net/commands.rs
@@ -34,6 +34,7 @@
             Command::ShareSessionWrite { session, position } => {
                 self.handover.share_session_write(session, position);
             }
+            Command::ShareRole { server } => self.handover.share_role(context, server),
             Command::Answer { client, request, answer } => {
                 self.clients.answer(context, client, request, &answer);
             }
@@ -64,14 +65,11 @@
             lines = update.endpoints.len()
         );
         log_duplicates(&update);
-        let lists_servers = !update.endpoints.is_empty();
         let moved = self.context.core.update_endpoints(self.context.now, update);
         for server in moved {
             self.pool.close_idle_connections(&mut self.context, server);
         }
-        if lists_servers {
-            self.take_over_from_predecessor();
-        }
+        self.take_over_from_predecessor();
         self.execute_commands();
     }
 }
--- a/proxy/src/net/process_handover/mod.rs
+++ b/proxy/src/net/process_handover/mod.rs
@@ -1,6 +1,7 @@
 //! The handover between processes of one proxy. A predecessor is the process that this one replaces, a successor is the process
 //! that replaces this one. They connect at a Unix socket in `$TMPDIR`, so that limits and budgets cover both.
 
+mod confirmed_roles;
 mod link;
 mod session_writes;
 
@@ -44,6 +45,8 @@
     successor: Option<ProcessLink>,
     /// Whether the predecessor was informed that this process serves.
     serving_announced: bool,
+    /// The predecessor has reported what it knows, or has not done so in time.
+    predecessor_wait_ended: bool,
     /// Processes whose link has broken while they may still answer writes. `None` if there are none.
     lost: Option<LostProcesses>,
     /// The timer for the next announcement of session writes is set.
@@ -148,6 +151,16 @@
         self.predecessor.is_some()
     }
 
+    /// Whether this process still waits for the predecessor to report what it knows. No client may be accepted before.
+    pub(super) fn awaits_predecessor(&self) -> bool {
+        self.predecessor.is_some() && !self.predecessor_wait_ended
+    }
+
+    /// Ends the wait for the report of the predecessor, which an earlier release does not send.
+    pub(super) fn end_wait_for_predecessor(&mut self) {
+        self.predecessor_wait_ended = true;
+    }
+
     /// Whether a successor accepts the clients now.
     pub(super) fn is_replaced(&self) -> bool {
         self.successor.as_ref().is_some_and(|successor| successor.is_serving)
--- a/proxy/src/net/process_handover/session_writes.rs
+++ b/proxy/src/net/process_handover/session_writes.rs
@@ -12,7 +12,7 @@
 use super::{Peer, ProcessHandover};
 use crate::handover_protocol::HandoverMessage;
 use birchreach::{Micros, SessionId};
-use tracing::warn;
+use tracing::{info, warn};
 
 /// The interval of the announcements. Several fit into the delay that the router allows.
 const ANNOUNCEMENT_INTERVAL_MICROS: Micros = 25_000;
@@ -101,17 +101,30 @@
             }
             HandoverMessage::SessionWritesReportedUntil(at) => {
                 link.writes_recorded_until = at.saturating_sub(clock_offset).min(now);
+                self.record_announcement(peer);
             }
             HandoverMessage::SessionWritesFinished => link.set_finished(),
-            HandoverMessage::SharesSessionWrites => self.announce_to(peer, context),
+            HandoverMessage::SharesSessionWrites => {
+                self.share_known_roles(peer, context);
+                self.announce_to(peer, context);
+            }
+            HandoverMessage::RoleConfirmed(role) => self.apply_role(peer, role, context),
             HandoverMessage::Serving
             | HandoverMessage::Stopping(_)
             | HandoverMessage::StopsAcceptingAt(_) => {}
         }
     }
 
-    /// Passes what one process has reported on to the link of the other one, if there is one.
-    fn forward(&mut self, to: Peer, report: impl FnOnce(&mut ProcessLink)) {
+    /// Records that an announcement was received. The first one of the predecessor follows its reports of what it knew before.
+    fn record_announcement(&mut self, peer: Peer) {
+        if peer == Peer::Predecessor && !self.predecessor_wait_ended {
+            self.end_wait_for_predecessor();
+            info!(event = "predecessor-reported");
+        }
+    }
+
+    /// Passes a report on to a process, if there is a link to it.
+    pub(super) fn forward(&mut self, to: Peer, report: impl FnOnce(&mut ProcessLink)) {
         if let Some(link) = self.link_mut(to) {
             report(link);
             link.flush();
--- a/proxy/src/net/run_once.rs
+++ b/proxy/src/net/run_once.rs
@@ -155,6 +155,8 @@
     /// Applies the state of the handover after another process of this proxy connected, sent a message or disconnected.
     pub(super) fn apply_handover_state(&mut self) {
         self.apply_process_count();
+        self.clients.set_awaiting_predecessor(self.handover.awaits_predecessor());
+        self.take_over_from_predecessor();
         if let Some(fleet) = &mut self.fleet {
             fleet.set_replaced(&self.context, self.handover.is_replaced());
             self.apply_fleet_changes();
--- a/proxy/src/net/start.rs
+++ b/proxy/src/net/start.rs
@@ -21,6 +21,7 @@
 use crate::discovery::EndpointUpdate;
 use crate::observe::shared;
 use crate::peer_state::PeerStateObserver;
+use birchreach::Micros;
 use mio::{Interest, Poll};
 use signal_hook_mio::v1_0::Signals;
 use std::net::SocketAddr;
@@ -30,6 +31,10 @@
 /// The maximum number of bytes that one read takes from a socket.
 const SCRATCH_BYTES: usize = 64 << 10;
 
+/// How long a process that replaces another one waits for the report of what that one knows, which earlier releases do
+/// not send. Meanwhile the predecessor accepts clients.
+const PREDECESSOR_WAIT_MICROS: Micros = 1_000_000;
+
 /// Connects to the predecessor of this process, if there is one, and listens for a successor. Does neither if this proxy
 /// does not share its listener.
 fn open_handover(poll: &Poll, address: SocketAddr, shared_listener: bool) -> ProcessHandover {
@@ -128,6 +133,10 @@
         }
         self.apply_process_count();
         self.handover.announce_session_writes(&mut self.context);
+        if self.handover.awaits_predecessor() {
+            self.clients.set_awaiting_predecessor(true);
+            self.context.timers.set(started_at + PREDECESSOR_WAIT_MICROS, TimerEvent::PredecessorWaitEnded);
+        }
         self.context.timers.set(started_at + PERIODIC_TASK_INTERVAL_MICROS, TimerEvent::PeriodicTasks);
         self.discovery.start(&mut self.context);
         Ok(())
--- a/proxy/src/net/timer_dispatch.rs
+++ b/proxy/src/net/timer_dispatch.rs
@@ -35,6 +35,10 @@
             TimerEvent::Gossip => self.advance_gossip(),
             TimerEvent::GossipSend(key, serial) => self.continue_gossip_send(key, serial),
             TimerEvent::AnnounceSessionWrites => self.handover.announce_session_writes(context),
+            TimerEvent::PredecessorWaitEnded => {
+                self.handover.end_wait_for_predecessor();
+                self.apply_handover_state();
+            }
             TimerEvent::Fleet => self.handle_fleet_timer(),
             TimerEvent::Background => self.run_background(),
             TimerEvent::ShutdownNoticeEnded => self.schedule_client_shutdown(),
--- a/proxy/src/net/timer_events.rs
+++ b/proxy/src/net/timer_events.rs
@@ -42,6 +42,8 @@
     GossipSend(LinkKey, LinkSerial),
     /// The next announcement to the other processes of this proxy is due, of the session writes that are reported.
     AnnounceSessionWrites,
+    /// The predecessor has not reported what it knows in time.
+    PredecessorWaitEnded,
     /// A probe of a fleet member is due or has timed out.
     Fleet,
     /// Background work may be due.
--- a/proxy/tests/handover/rig.rs
+++ b/proxy/tests/handover/rig.rs
@@ -153,6 +153,17 @@
         self.write(&mut client, session);
     }
 
+    /// Makes the replica the primary, without a change of the endpoint list. The former primary applies no further commits.
+    pub(crate) fn fail_over(&self) {
+        self.rig.fail_over(0, false);
+        self.rig.groups[0].primary.pause_replication();
+    }
+
+    /// Makes the former primary the primary again. The other server applies no further commits.
+    pub(crate) fn fail_back(&self) {
+        self.rig.restore(0);
+    }
+
     /// Reads the row of a session, and checks that the read sees the write of the session.
     pub(crate) fn assert_write_is_seen(&self, client: &mut Client, session: &str) {
         let reply = client.read_key("own", 0, session, DEADLINE_MS, None).unwrap();
--- a/src/policy/replication.rs
+++ b/src/policy/replication.rs
@@ -45,6 +45,16 @@
         was_behind && self.lag_observed_at >= Some(now - LAG_RECHECK_INTERVAL)
     }
 
+    /// The role that was last confirmed, and when; `None` if none was confirmed.
+    fn confirmed_role(&self) -> Option<(Role, Micros)> {
+        match (self.primary_confirmed_at, self.replica_confirmed_at) {
+            (Some(primary_at), replica_at) if replica_at < Some(primary_at) => {
+                Some((Role::Primary, primary_at))
+            }
+            (_, replica_at) => replica_at.map(|at| (Role::Replica, at)),
+        }
+    }
+
     /// Whether the server is primary, as confirmed by its reports. The endpoint list decides until the first
     /// report of a role.
     fn is_primary(&self, listed_as_primary: bool) -> bool {
@@ -86,6 +96,23 @@
         members.iter().filter_map(rank).max().map(|(_, _, id)| id)
     }
 
+    /// The role of a server that was last confirmed, and when; `None` if the server is unknown or has
+    /// confirmed no role.
+    pub fn confirmed_role(&self, id: ServerId) -> Option<(Role, Micros)> {
+        self.servers.get(&id)?.replication.confirmed_role()
+    }
+
+    /// Records a role that a server confirmed to another process of this proxy at this time. Ignores a
+    /// primary whose process has been restarted since.
+    pub fn record_remote_role(&mut self, now: Micros, id: ServerId, role: Role, confirmed_at: Micros) {
+        let now = now.max(self.now);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let was_restarted = server.endpoint.listed().started_at > Some(confirmed_at);
+        if role == Role::Replica || !was_restarted {
+            server.replication.record_role(role, confirmed_at.min(now));
+        }
+    }
+
     /// Records the role and position that a server reports in a response.
     pub(super) fn record_status(&mut self, id: ServerId, status: ServerStatus) {
         let Some(server) = self.servers.get_mut(&id) else { return };
--- a/tests/session_writes.rs
+++ b/tests/other_processes.rs
@@ -1,4 +1,4 @@
-//! Session writes that other processes of the proxy have answered: which replicas may serve the reads of sessions.
+//! What other processes of the proxy know: session writes that they have answered, and roles that servers have confirmed to them.
 
 mod common;
 use birchreach::*;
@@ -18,7 +18,10 @@
 
 /// Whether a read of this session goes to the primary.
 fn read_goes_to_primary(fixture: &mut RouterFixture, session: u64) -> bool {
-    fixture.request_with(SESSION, |request| request.session = Some(SessionId(session))).servers() == [PRIMARY]
+    let read = fixture.request_with(SESSION, |request| request.session = Some(SessionId(session)));
+    let server = read.server();
+    fixture.complete_attempt(read.id, 0, server, AttemptOutcome::Ok);
+    server == PRIMARY
 }
 
 #[test]
@@ -81,3 +84,45 @@
     fixture.router.require_session_position(fixture.now + 1);
     assert!(!read_goes_to_primary(&mut fixture, 9));
 }
+
+#[test]
+fn a_server_that_confirmed_to_another_process_that_it_is_a_replica_is_not_taken_for_the_primary() {
+    // Given a listed primary, which a read with a recent bound goes to
+    let mut fixture = RouterFixture::new(settings());
+    assert_eq!(fixture.request(BOUNDED).servers(), [PRIMARY]);
+    // When it has confirmed to another process that it is a replica, and another server that it is the primary
+    fixture.advance(10 * MILLISECOND);
+    fixture.router.record_remote_role(fixture.now, ServerId(PRIMARY), Role::Replica, fixture.now);
+    fixture.router.record_remote_role(fixture.now, ServerId(REPLICA_1), Role::Primary, fixture.now);
+    // Then reads and writes go to the new primary
+    assert_eq!(fixture.request(BOUNDED).servers(), [REPLICA_1]);
+    assert_eq!(fixture.request(WRITE).servers(), [REPLICA_1]);
+    assert_eq!(fixture.router.confirmed_role(ServerId(PRIMARY)), Some((Role::Replica, fixture.now)));
+    // When the former primary confirms later that it is the primary again, then the later confirmation counts
+    fixture.advance(10 * MILLISECOND);
+    fixture.report_position(PRIMARY, Role::Primary, 0);
+    fixture.router.record_remote_role(
+        fixture.now,
+        ServerId(PRIMARY),
+        Role::Replica,
+        fixture.now - 5 * MILLISECOND,
+    );
+    assert_eq!(fixture.request(BOUNDED).servers(), [PRIMARY]);
+}
+
+#[test]
+fn a_primary_that_was_restarted_since_it_confirmed_its_role_to_another_process_is_not_taken_for_the_primary()
+{
+    // Given a replica that was restarted
+    let mut fixture = RouterFixture::new(settings());
+    let restarted_at = fixture.now;
+    fixture
+        .set_endpoints(&endpoints_with_change(REPLICA_1, |replica| replica.started_at = Some(restarted_at)));
+    // When another process reports that it was the primary before, then it is not taken for the primary
+    fixture.router.record_remote_role(fixture.now, ServerId(REPLICA_1), Role::Primary, restarted_at - 1);
+    assert_eq!(fixture.router.confirmed_role(ServerId(REPLICA_1)), None);
+    // When another process reports that it has been the primary since, then it is
+    fixture.router.record_remote_role(fixture.now, ServerId(REPLICA_1), Role::Primary, restarted_at);
+    let confirmed = fixture.router.confirmed_role(ServerId(REPLICA_1));
+    assert_eq!(confirmed, Some((Role::Primary, restarted_at)));
+}
