Router: do not send a waiting attempt to a process that started after the decision

Cause: Router::may_still_send did not look at the process. It now refuses an attempt whose decision is older than the list entry of the server's present process, while that one is in slow start. The attempt counts as not sent, and the request is decided anew within the budget.

Test: a_request_is_not_sent_to_a_process_that_started_after_the_decision, which failed before: "the slow-start budget does not contain the read".

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -124,8 +124,9 @@
 
     /// Whether an attempt may still be written to its server. The caller has to check this just before
     /// writing: while the connection was established, the server may have started to drain or lost its role,
-    /// its data may have become too old, another attempt may have started to respond, and the time within
-    /// which a request that may have run may be repeated may have passed.
+    /// its data may have become too old, another process of it may have started, another attempt may have
+    /// started to respond, and the time within which a request that may have run may be repeated may have
+    /// passed.
     pub fn may_still_send(&self, now: Micros, request_id: RequestId, attempt: AttemptNumber) -> bool {
         let now = now.max(self.now);
         let Some(request) = self.pending.get(&request_id) else { return false };
@@ -134,10 +135,17 @@
         self.accepting_server(in_flight.server).is_some_and(|server| {
             self.may_execute_besides(request, other_attempts(), in_flight.server, now)
                 && !other_attempts().any(|other| self.has_response_started(request, *other))
+                && self.is_within_slow_start_budget(in_flight, server)
                 && self.has_required_data(request, in_flight.server, server, now)
         })
     }
 
+    /// Whether the slow-start budget of a server covers an attempt. It does not if the attempt was sent by a
+    /// decision that did not know of the server's current process.
+    fn is_within_slow_start_budget(&self, attempt: &InFlightAttempt, server: &Server) -> bool {
+        server.process_listed_at <= Some(attempt.sent_at) || self.is_warmed_up(server)
+    }
+
     /// Whether the response of an attempt in flight has started.
     fn has_response_started(&self, request: &PendingRequest, attempt: AttemptNumber) -> bool {
         let attempt = self.in_flight_attempt(request, attempt);
--- a/src/policy/endpoints.rs
+++ b/src/policy/endpoints.rs
@@ -107,7 +107,7 @@
         let new_server = || Server::new(EndpointStatus::new(endpoint.clone()), slow_start);
         let server = self.servers.get_or_insert_with(id, new_server);
         if server.endpoint.shows_new_process(&endpoint) {
-            server.reset_for_new_process(slow_start);
+            server.reset_for_new_process(slow_start, self.now);
         }
         let previous_group = server.endpoint.listed.group;
         if previous_group != endpoint.group {
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -6,6 +6,7 @@
 use super::outlier_detection::OutlierDetection;
 use super::replication::ReplicationState;
 use super::slow_start::SlowStart;
+use crate::interface::Micros;
 
 /// What the router knows about a server.
 pub(super) struct Server {
@@ -15,6 +16,9 @@
     pub slow_start: SlowStart,
     pub outlier: OutlierDetection,
     pub health_check: HealthCheckState,
+    /// Time at which the endpoint list first showed the current process of the server; `None` if it is the
+    /// first one.
+    pub process_listed_at: Option<Micros>,
     /// Number of attempts without a result, including those that no longer count against the concurrency
     /// limit.
     pub unfinished_attempt_count: usize,
@@ -30,13 +34,15 @@
             slow_start,
             outlier: OutlierDetection::new(),
             health_check: HealthCheckState::default(),
+            process_listed_at: None,
             unfinished_attempt_count: 0,
         }
     }
 
     /// Resets the state after a new process has started. Of the previous process, only the log position
     /// remains valid.
-    pub(super) fn reset_for_new_process(&mut self, slow_start: SlowStart) {
+    pub(super) fn reset_for_new_process(&mut self, slow_start: SlowStart, now: Micros) {
+        self.process_listed_at = Some(now);
         self.replication.reset_for_new_process();
         self.slow_start.reset_for_new_process(slow_start);
         self.outlier.reset_for_new_process();
--- a/tests/delayed_sends.rs
+++ b/tests/delayed_sends.rs
@@ -113,3 +113,22 @@
     fixture.handle(Event::Settings(Box::new(settings)));
     assert!(!may_still_send(&fixture, read, 1));
 }
+
+// Attempts that wait for a connection while their server restarts would reach the cold process all at once.
+#[test]
+fn a_request_is_not_sent_to_a_process_that_started_after_the_decision() {
+    // Given a read that waits for a connection
+    let mut fixture = RouterFixture::new(settings());
+    let read = fixture.request(ANY);
+    let server = read.server();
+    fixture.now += CONNECT_DELAY;
+    assert!(may_still_send(&fixture, read.id, 0));
+    // When the endpoint list shows a new process of its server, then the read may not be sent
+    let restarted_at = fixture.now;
+    let endpoints = endpoints_with_change(server, |endpoint| endpoint.started_at = Some(restarted_at));
+    fixture.set_endpoints(&endpoints);
+    assert!(!may_still_send(&fixture, read.id, 0), "the slow-start budget does not contain the read");
+    // And requests that are sent by a later decision may be sent
+    let later = fixture.request(ANY);
+    assert!(may_still_send(&fixture, later.id, 0));
+}
