Handover: `status` says no while a new process waits for the one that it replaces

Since a new process accepts clients once its predecessor has told it what it knows, after 1 s at the latest, but `status` said yes from the start. It says no until then, so that the platform does not stop the old process too early beside an earlier version, which tells nothing. `event=predecessor-reported` also comes where the report arrives late.

--- a/proxy/src/net/admin_calls.rs
+++ b/proxy/src/net/admin_calls.rs
@@ -24,6 +24,9 @@
             |report: Option<String>| report.map_or(AdminReply::UnknownCall, AdminReply::Lines);
         match call {
             AdminCall::Status if self.stopping => AdminReply::No("stopping"),
+            AdminCall::Status if self.handover.awaits_predecessor() => {
+                AdminReply::No("waiting for the process that it replaces")
+            }
             AdminCall::Status => AdminReply::Yes("it takes clients"),
             AdminCall::Stats => {
                 let core = &self.context.core;
--- a/proxy/src/net/process_handover/link.rs
+++ b/proxy/src/net/process_handover/link.rs
@@ -39,6 +39,8 @@
     pub(super) reports: SessionWriteReports,
     /// The time until which all writes that the other process, and those beyond it, answered are recorded here.
     pub(super) writes_recorded_until: Micros,
+    /// Whether the other process has announced until when its writes are reported.
+    has_announced: bool,
     /// Received messages about session writes, which the owner applies.
     pub(super) session_messages: Vec<HandoverMessage>,
 }
@@ -68,6 +70,7 @@
             stops_accepting_at: None,
             reports: SessionWriteReports::default(),
             writes_recorded_until: NO_WRITES_RECORDED,
+            has_announced: false,
             session_messages: Vec::new(),
         })
     }
@@ -109,6 +112,12 @@
         Ok(())
     }
 
+    /// Records an announcement of the other process. Returns whether it is the first one.
+    pub(super) fn record_announcement(&mut self, recorded_until: Micros) -> bool {
+        self.writes_recorded_until = recorded_until;
+        !std::mem::replace(&mut self.has_announced, true)
+    }
+
     /// Records that the other process, and those beyond it, answer no further writes.
     pub(super) fn set_finished(&mut self) {
         self.writes_recorded_until = ALL_WRITES_RECORDED;
--- a/proxy/src/net/process_handover/session_writes.rs
+++ b/proxy/src/net/process_handover/session_writes.rs
@@ -100,8 +100,13 @@
                 self.forward(peer.other(), |link| link.reports.add_missed(position));
             }
             HandoverMessage::SessionWritesReportedUntil(at) => {
-                link.writes_recorded_until = at.saturating_sub(clock_offset).min(now);
-                self.record_announcement(peer);
+                let recorded_until = at.saturating_sub(clock_offset).min(now);
+                let is_first = link.record_announcement(recorded_until);
+                if is_first && peer == Peer::Predecessor {
+                    // It follows the reports of what the predecessor knew before.
+                    info!(event = "predecessor-reported");
+                    self.end_wait_for_predecessor();
+                }
             }
             HandoverMessage::SessionWritesFinished => link.set_finished(),
             HandoverMessage::SharesSessionWrites => {
@@ -115,14 +120,6 @@
         }
     }
 
-    /// Records that an announcement was received. The first one of the predecessor follows its reports of what it knew before.
-    fn record_announcement(&mut self, peer: Peer) {
-        if peer == Peer::Predecessor && !self.predecessor_wait_ended {
-            self.end_wait_for_predecessor();
-            info!(event = "predecessor-reported");
-        }
-    }
-
     /// Passes a report on to a process, if there is a link to it.
     pub(super) fn forward(&mut self, to: Peer, report: impl FnOnce(&mut ProcessLink)) {
         if let Some(link) = self.link_mut(to) {
--- a/proxy/tests/exchanges.rs
+++ b/proxy/tests/exchanges.rs
@@ -41,7 +41,7 @@
     drain moved probe shed descriptors
     flood hang idle gone silent_probe large stopping agent late_answer malformed reload
     spoilt surplus unreadable_report future_report answers_report spoilt_usage rude unfinished
-    operator upgrade stream retune
+    operator upgrade upgrade_silent stream retune
     agent_reset agent_stalls leaver pipelined_wait keyed stopping_pipelined moved_opening left_while_opening
     left_while_held left_halfway cancel_key descriptors_discovery idle_crossing unfinished_crossing shed_crossing leave_crossing
     agent_unreachable pool_full further_attempt_time indented half_line moved_drain keyed_window keyed_window_passed shed_order
