--- a/src/policy/required_position.rs
+++ b/src/policy/required_position.rs
@@ -7,7 +7,7 @@
 
 /// Maximum number of sessions whose positions are stored individually.
 const MAX_SESSIONS: usize = 65_536;
-/// A write has to be known this long after it was answered (`users/PROTOCOL.md`, "The rules on sockets").
+/// A write has to be known this long after it was answered, by the rules of the platform's protocol.
 const MAX_WRITE_PROPAGATION_DELAY: Micros = 100_000;
 
 /// Commit positions of the last write of each session, used if requests do not carry them.
