--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,8 +11,8 @@
 //!   `outlier_detection`;
 //! - `required_position`, `replication`, `position_queries`: the log position that a read has to see, and the
 //!   servers that have reached it;
-//! - `attempts`, `overdue_attempts`, `attempt_results`, `retry_budget`: sending attempts, overdue attempts,
-//!   results and retries;
+//! - `attempts`, `send_conditions`, `overdue_attempts`, `attempt_results`, `retry_budget`: sending attempts,
+//!   the conditions under which they may be sent, overdue attempts, results and retries;
 //! - `queue`, `timers`, `final_answer`: requests that wait, their wakeups and their final responses;
 //! - `endpoints`, `health_checks`: changes of the endpoint list and results of health checks;
 //! - `servers`, `server_table`, `groups`, `pending`: the state of servers, groups, requests and attempts,
@@ -34,6 +34,7 @@
 mod replication;
 mod required_position;
 mod retry_budget;
+mod send_conditions;
 mod server_selection;
 mod server_table;
 mod servers;
--- a/tests/delayed_sends.rs
+++ b/tests/delayed_sends.rs
@@ -13,6 +13,55 @@
     fixture.router.may_still_send(fixture.now, RequestId(request), AttemptNumber(attempt))
 }
 
+#[test]
+fn a_read_is_not_sent_once_the_position_of_its_replica_is_too_old() {
+    // Given a bounded read for which a connection to a fresh replica is being opened
+    let mut fixture = RouterFixture::new(settings());
+    fixture.report_position(REPLICA_1, Role::Replica, 100 * MILLISECOND);
+    let read = fixture.request(BOUNDED);
+    assert!(read.servers() == [REPLICA_1] && may_still_send(&fixture, read.id, 0));
+    // When the reported position becomes too old in the meantime, then the read may no longer be sent
+    fixture.now += 200 * MILLISECOND;
+    assert!(may_still_send(&fixture, read.id, 0), "the position is 300 ms old, which the class allows");
+    fixture.now += MILLISECOND;
+    assert!(!may_still_send(&fixture, read.id, 0));
+}
+
+#[test]
+fn a_write_is_not_sent_once_its_server_is_draining() {
+    // Given a write for which a connection is being opened
+    let mut fixture = RouterFixture::new(settings());
+    let write = fixture.request(WRITE);
+    assert!(write.servers() == [PRIMARY] && may_still_send(&fixture, write.id, 0));
+    // When the server begins to drain, then the write may no longer be sent
+    let [primary, replica] = ready_endpoints([PRIMARY, REPLICA_1]);
+    fixture.set_endpoints(&[Endpoint { state: EndpointState::Draining, ..primary }, replica]);
+    assert!(!may_still_send(&fixture, write.id, 0));
+}
+
+#[test]
+fn a_read_is_not_sent_to_the_primary_once_that_server_reports_that_it_is_a_replica() {
+    // Given a read for which a connection to the primary is being opened
+    let mut fixture = RouterFixture::new(settings());
+    let read = fixture.request(BOUNDED);
+    assert!(read.servers() == [PRIMARY] && may_still_send(&fixture, read.id, 0));
+    // When that server reports in another response that it is a replica, then the read may no longer be sent
+    let write = fixture.request(WRITE);
+    let replica_status = status(Role::Replica, fixture.now - 1_000 * MILLISECOND);
+    fixture.complete_attempt_with_status(write.id, 0, PRIMARY, AttemptOutcome::Ineligible, replica_status);
+    assert!(!may_still_send(&fixture, read.id, 0));
+}
+
+#[test]
+fn a_request_is_not_sent_once_it_is_finished() {
+    // Given a read for which a connection is being opened
+    let mut fixture = RouterFixture::new(settings());
+    let read = fixture.request(ANY);
+    // When its client disconnects, then the read may no longer be sent
+    fixture.handle(Event::ClientDisconnected { request: RequestId(read.id) });
+    assert!(!may_still_send(&fixture, read.id, 0));
+}
+
 /// A router whose writes have an idempotency key with a window of 600 ms.
 fn fixture_with_key() -> RouterFixture {
     let mut settings = settings();
