Test hooks: the release build is free of warnings

The release build warned of an unreachable `pub` item, the empty form of stop_process_at, on each build; clippy looks at debug builds and did not. It is pub(super), like the other form. No behaviour changes; the release build prints no warning.

--- a/proxy/src/net/test_hooks.rs
+++ b/proxy/src/net/test_hooks.rs
@@ -34,4 +34,4 @@
 
 /// Does nothing, because this build has no debug assertions.
 #[cfg(not(debug_assertions))]
-pub fn stop_process_at(_: StopPoint) {}
+pub(super) fn stop_process_at(_: StopPoint) {}
