Review case 7: a late answer makes a former primary the primary again, and a read stale

Cause: the role in an answer is dated by the arrival of the whole answer. An answer from before a failover that arrives late overrides what a later answer has told.

Change: the case, and a relay that can be cut. No code of the proxy is changed.

--- a/review/rig-2/common.rs
+++ b/review/rig-2/common.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::fs::File;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -41,6 +41,11 @@
         Record(Arc::new((Instant::now(), Mutex::new(file))))
     }
 
+    /// The time since the start of the case, in milliseconds.
+    pub fn ms(&self) -> f64 {
+        self.0.0.elapsed().as_secs_f64() * 1e3
+    }
+
     pub fn line(&self, text: impl AsRef<str>) {
         let at = self.0.0.elapsed().as_secs_f64() * 1e3;
         let mut file = self.0.1.lock().unwrap();
@@ -260,6 +265,7 @@
 pub fn usual_reply(database: &Database, query: &Query, record: &Record) -> Vec<u8> {
     let mut reply;
     if query.is_write && !database.is_primary.load(Ordering::SeqCst) {
+        record.line(format!("{} ({}) turns {} away: 25006", database.name, database.role(), query.id()));
         reply = error("25006");
     } else {
         if query.is_write {
@@ -344,6 +350,13 @@
         discovery
     }
 
+    /// Replaces the list and tells the watches.
+    pub fn set(&self, entries: Vec<Entry>) {
+        let mut list = self.list.lock().unwrap();
+        *list = (list.0 + 1, entries);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream, record: &Record) {
         let _ = stream.set_nodelay(true);
         let mut input = Vec::new();
@@ -505,11 +518,13 @@
             .unwrap_or_else(|error| stop(&format!("no deploy file: {error}")));
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
         let run = run.unwrap_or_else(|| stop("the deploy file has no run line"));
-        let temporary = folder().join("tmp");
+        let number = STARTED.lock().unwrap().len();
+        let temporary = folder().join(format!("tmp{number}"));
         std::fs::create_dir_all(&temporary).unwrap_or_else(|error| stop(&error.to_string()));
-        let (listen, config) = (free_address(), folder().join("config.json"));
+        let (listen, config) = (free_address(), folder().join(format!("config{number}.json")));
         write_config(&config, listen, settings, discovery, limits);
-        let log = File::create(folder().join("log")).unwrap_or_else(|error| stop(&error.to_string()));
+        let log = File::create(folder().join(format!("log{number}")))
+            .unwrap_or_else(|error| stop(&error.to_string()));
         let child = Command::new("/bin/sh")
             .arg("-c")
             .arg(run)
@@ -589,6 +604,8 @@
 /// One connection of a client.
 pub struct Client {
     pub stream: TcpStream,
+    /// The connection was reset, that is not closed in an orderly way. The system says so once.
+    pub was_reset: bool,
 }
 
 /// How a request ended, as its client sees it.
@@ -610,7 +627,7 @@
         let mut startup = ((body.len() + 4) as u32).to_be_bytes().to_vec();
         startup.extend(body);
         stream.write_all(&startup).ok()?;
-        let mut client = Client { stream };
+        let mut client = Client { stream, was_reset: false };
         loop {
             let (tag, _) = client.next_message()?;
             if tag == b'Z' {
@@ -640,23 +657,12 @@
         let mut value = None;
         let mut ending = None;
         loop {
-            let Some(head) = read_exact(&mut self.stream, 5) else {
-                return ending.unwrap_or(Ending::Lost(0));
-            };
+            let Ok(head) = self.take(5, Duration::ZERO) else { return ending.unwrap_or(Ending::Lost(0)) };
             let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-            let mut body = Vec::new();
-            let mut scratch = vec![0; PIECE];
-            let wanted = length.saturating_sub(4);
-            while body.len() < wanted {
-                let most = scratch.len().min(wanted - body.len());
-                match self.stream.read(&mut scratch[..most]) {
-                    Ok(count) if count > 0 => {
-                        body.extend_from_slice(&scratch[..count]);
-                        thread::sleep(pause);
-                    }
-                    _ => return ending.unwrap_or(Ending::Lost(body.len().max(1))),
-                }
-            }
+            let body = match self.take(length.saturating_sub(4), pause) {
+                Ok(body) => body,
+                Err(part) => return ending.unwrap_or(Ending::Lost(part.len().max(1))),
+            };
             match head[0] {
                 b'D' => value = Some(body.get(6..).unwrap_or_default().to_vec()),
                 b'C' => ending = value.take().map(Ending::Served),
@@ -673,6 +679,25 @@
         }
     }
 
+    /// Reads so many bytes, with a pause after each piece. Returns what has come if the connection ends before.
+    fn take(&mut self, wanted: usize, pause: Duration) -> Result<Vec<u8>, Vec<u8>> {
+        let mut bytes = Vec::new();
+        let mut scratch = vec![0; PIECE.min(wanted)];
+        while bytes.len() < wanted {
+            let most = scratch.len().min(wanted - bytes.len());
+            match self.stream.read(&mut scratch[..most]) {
+                Ok(0) => return Err(bytes),
+                Ok(count) => bytes.extend_from_slice(&scratch[..count]),
+                Err(error) => {
+                    self.was_reset = error.kind() == ErrorKind::ConnectionReset;
+                    return Err(bytes);
+                }
+            }
+            thread::sleep(pause);
+        }
+        Ok(bytes)
+    }
+
     pub fn ask(&mut self, text: &str) -> Ending {
         if !self.send_text(text) {
             return Ending::Lost(0);
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod common;
 mod pressure;
+mod roles;
 mod values;
 
 fn main() {
@@ -11,6 +12,7 @@
     let code = match case.as_str() {
         "second-copy" => answers::second_copy(),
         "pressure" => pressure::run(),
+        "late-role" => roles::late_role(),
         "behind-value" => values::behind_value(),
         "reset-at-restart" => values::reset_at_restart(),
         "ends-while-given" => values::ends_while_given(),
--- a/review/rig-2/values.rs
+++ b/review/rig-2/values.rs
@@ -1,7 +1,7 @@
 //! Cases about values longer than 64 KiB.
 
 use crate::common::*;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
@@ -110,7 +110,10 @@
         }
         sleep_ms(10);
     }
-    rig.record.line("SIGKILL to the proxy, if it still runs");
+    sleep_ms(200);
+    if !has_ended && rig.proxy.has_ended() {
+        rig.record.line("the proxy has ended by itself");
+    }
     rig.proxy.kill();
     let Ok(ending) = asked.join() else { return NOT_RUN };
     sleep_ms(500);
@@ -185,8 +188,6 @@
             unanswered.push(id);
         }
     }
-    // The close resets the connection if the proxy has left input unread: the client may then send it again.
-    let end = client.stream.read(&mut [0; 1]);
     sleep_ms(500);
     rig.proxy.kill();
     // The first one has begun to be passed on, and has failed for no fault of the proxy's.
@@ -195,10 +196,9 @@
         rig.record.line("held: all commands behind the value have their answers");
         return HELD;
     }
-    if end.is_err() {
-        rig.record.line(format!(
-            "held: the connection was reset ({end:?}), the proxy had not read all of the commands"
-        ));
+    // A close over unread input would have reset the connection: the client may then send that input again.
+    if client.was_reset {
+        rig.record.line("held: the connection was reset, so the proxy had not read all of the commands");
         return HELD;
     }
     rig.record.line(format!(
@@ -233,7 +233,8 @@
     }
     // The client reads at 64 KiB each 100 ms, that is for about 2 s.
     let ending = client.ending_at(Duration::from_millis(100));
-    rig.record.line(format!("{first}: {}", describe(&ending)));
+    let end = if client.was_reset { "; the connection was reset" } else { "" };
+    rig.record.line(format!("{first}: {}{end}", describe(&ending)));
     sleep_ms(300);
     rig.proxy.kill();
     judge(&rig.record, &first, &ending)
