Review case 8: an id that is repeated during a replacement runs twice

Cause: a process that replaces another one takes clients before it knows the ids of the requests that the other one has open.

No code of the proxy is changed.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/birchreach-proxy target/review-2/cases; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-2/cases reset-at-restart
+exec target/review-2/cases pressure
--- a/review/rig-2/common.rs
+++ b/review/rig-2/common.rs
@@ -5,6 +5,8 @@
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -489,9 +491,17 @@
     std::env::temp_dir().join(format!("birchreach-review-{}", std::process::id()))
 }
 
+/// The descriptor of the clients' listening socket, where the platform holds it.
+const INHERITED: i32 = 3;
+
+unsafe extern "C" {
+    fn dup2(from: i32, to: i32) -> i32;
+}
+
 /// A proxy, started by the command of the deploy file.
 pub struct Proxy {
     pub listen: SocketAddr,
+    operator: SocketAddr,
     child: Arc<Mutex<Child>>,
 }
 
@@ -512,6 +522,59 @@
         discovery: SocketAddr,
         record: &Record,
         limits: (u32, u32),
+    ) -> Proxy {
+        let (listen, operator) = (free_address(), free_address());
+        let mut proxy = Proxy::spawn(settings, discovery, "null", limits, (listen, operator), None);
+        let deadline = Instant::now() + Duration::from_secs(30);
+        while !proxy.is_ready() {
+            if Instant::now() > deadline || proxy.has_ended() {
+                stop("the proxy is not ready");
+            }
+            sleep_ms(20);
+        }
+        record.line(format!("the proxy takes clients at {listen}"));
+        proxy
+    }
+
+    /// Starts a process of a proxy whose listening socket the platform holds. It may run beside another one.
+    pub fn start_beside(
+        settings: &Settings,
+        discovery: SocketAddr,
+        known: &str,
+        record: &Record,
+        listener: &TcpListener,
+    ) -> Proxy {
+        let addresses = (listener.local_addr().unwrap(), free_address());
+        let proxy = Proxy::spawn(settings, discovery, known, (192, 1024), addresses, Some(listener));
+        record.line(format!("a process has been started; its operators' address is {}", proxy.operator));
+        proxy
+    }
+
+    /// Waits until the process says that it takes clients.
+    pub fn wait_until_yes(&self, record: &Record) {
+        let deadline = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < deadline {
+            let says_yes = || {
+                let mut stream = TcpStream::connect_timeout(&self.operator, Duration::from_secs(1)).ok()?;
+                stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+                stream.write_all(b"status\n").ok()?;
+                read_exact(&mut stream, 3).filter(|reply| reply == b"YES")
+            };
+            if says_yes().is_some() {
+                return record.line(format!("the process at {} says YES", self.operator));
+            }
+            sleep_ms(5);
+        }
+        stop("the process does not say YES within 30 s");
+    }
+
+    fn spawn(
+        settings: &Settings,
+        discovery: SocketAddr,
+        known: &str,
+        limits: (u32, u32),
+        (listen, operator): (SocketAddr, SocketAddr),
+        listener: Option<&TcpListener>,
     ) -> Proxy {
         let root = std::env::var("ROOT").map(PathBuf::from).unwrap_or_else(|_| stop("ROOT is not set"));
         let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml"))
@@ -519,35 +582,43 @@
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
         let run = run.unwrap_or_else(|| stop("the deploy file has no run line"));
         let number = STARTED.lock().unwrap().len();
-        let temporary = folder().join(format!("tmp{number}"));
+        // The processes of one proxy share their folder for temporary files.
+        let temporary = match listener {
+            Some(_) => folder().join("tmp"),
+            None => folder().join(format!("tmp{number}")),
+        };
         std::fs::create_dir_all(&temporary).unwrap_or_else(|error| stop(&error.to_string()));
-        let (listen, config) = (free_address(), folder().join(format!("config{number}.json")));
-        write_config(&config, listen, settings, discovery, limits);
+        let config = folder().join(format!("config{number}.json"));
+        let (memory_mb, sockets) = limits;
+        let text = format!(
+            "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"operator\":\"{operator}\",\
+             \"seed\":\"{:016x}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets}}},\
+             \"known\":{known},\"settings\":{}}}",
+            0x8c1f_30d2_7a5b_e964_u64 + number as u64,
+            settings.json()
+        );
+        std::fs::write(&config, text).unwrap_or_else(|error| stop(&error.to_string()));
         let log = File::create(folder().join(format!("log{number}")))
             .unwrap_or_else(|error| stop(&error.to_string()));
-        let child = Command::new("/bin/sh")
-            .arg("-c")
-            .arg(run)
-            .current_dir(&root)
-            .env("RELAY_CONFIG", &config)
-            .env("TMPDIR", &temporary)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .unwrap_or_else(|error| stop(&format!("the proxy does not start: {error}")));
-        let child = Arc::new(Mutex::new(child));
-        STARTED.lock().unwrap().push(child.clone());
-        let mut proxy = Proxy { listen, child };
-        let deadline = Instant::now() + Duration::from_secs(30);
-        while !proxy.is_ready() {
-            if Instant::now() > deadline || proxy.has_ended() {
-                stop("the proxy is not ready");
+        let mut command = Command::new("/bin/sh");
+        command.arg("-c").arg(run).current_dir(&root).env("RELAY_CONFIG", &config).env("TMPDIR", &temporary);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        if let Some(listener) = listener {
+            let held = listener.as_raw_fd();
+            command.env("RELAY_INHERITED_FD", INHERITED.to_string());
+            // SAFETY: `dup2` may be called between fork and exec.
+            unsafe {
+                command.pre_exec(move || match dup2(held, INHERITED) {
+                    INHERITED => Ok(()),
+                    _ => Err(std::io::Error::last_os_error()),
+                });
             }
-            sleep_ms(20);
         }
-        record.line(format!("the proxy takes clients at {listen}"));
-        proxy
+        let child =
+            command.spawn().unwrap_or_else(|error| stop(&format!("the proxy does not start: {error}")));
+        let child = Arc::new(Mutex::new(child));
+        STARTED.lock().unwrap().push(child.clone());
+        Proxy { listen, operator, child }
     }
 
     fn is_ready(&self) -> bool {
@@ -578,24 +649,6 @@
     }
 }
 
-fn write_config(
-    path: &PathBuf,
-    listen: SocketAddr,
-    settings: &Settings,
-    discovery: SocketAddr,
-    limits: (u32, u32),
-) {
-    let (memory_mb, sockets) = limits;
-    let text = format!(
-        "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
-         \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets}}},\"settings\":{}}}",
-        settings.json()
-    );
-    let next = path.with_extension("next");
-    let written = std::fs::write(&next, text).and_then(|()| std::fs::rename(&next, path));
-    written.unwrap_or_else(|error| stop(&error.to_string()));
-}
-
 // ---------------------------------------------------------------------------------------------- clients
 
 /// The most that a client reads at once.
@@ -606,6 +659,8 @@
     pub stream: TcpStream,
     /// The connection was reset, that is not closed in an orderly way. The system says so once.
     pub was_reset: bool,
+    /// Nothing came for as long as the client was set to wait.
+    pub has_timed_out: bool,
 }
 
 /// How a request ended, as its client sees it.
@@ -618,16 +673,25 @@
     Lost(usize),
 }
 
+/// The startup message of a client.
+pub fn startup() -> Vec<u8> {
+    let mut body = 196_608u32.to_be_bytes().to_vec();
+    body.extend_from_slice(b"user\0api\0database\0ledger\0\0");
+    let mut bytes = ((body.len() + 4) as u32).to_be_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
 impl Client {
+    pub fn from_stream(stream: TcpStream) -> Client {
+        Client { stream, was_reset: false, has_timed_out: false }
+    }
+
     pub fn connect(address: SocketAddr) -> Option<Client> {
         let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
         let _ = stream.set_nodelay(true);
-        let mut body = 196_608u32.to_be_bytes().to_vec();
-        body.extend_from_slice(b"user\0api\0database\0ledger\0\0");
-        let mut startup = ((body.len() + 4) as u32).to_be_bytes().to_vec();
-        startup.extend(body);
-        stream.write_all(&startup).ok()?;
-        let mut client = Client { stream, was_reset: false };
+        stream.write_all(&startup()).ok()?;
+        let mut client = Client::from_stream(stream);
         loop {
             let (tag, _) = client.next_message()?;
             if tag == b'Z' {
@@ -690,6 +754,7 @@
                 Ok(count) => bytes.extend_from_slice(&scratch[..count]),
                 Err(error) => {
                     self.was_reset = error.kind() == ErrorKind::ConnectionReset;
+                    self.has_timed_out = matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
                     return Err(bytes);
                 }
             }
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod common;
 mod pressure;
+mod replacement;
 mod roles;
 mod values;
 
@@ -13,6 +14,9 @@
         "second-copy" => answers::second_copy(),
         "pressure" => pressure::run(),
         "late-role" => roles::late_role(),
+        "endless-answer" => values::endless_answer(),
+        "cut-before-end" => values::cut_before_end(),
+        "repeated-id" => replacement::repeated_id(),
         "behind-value" => values::behind_value(),
         "reset-at-restart" => values::reset_at_restart(),
         "ends-while-given" => values::ends_while_given(),
--- a/review/rig-2/values.rs
+++ b/review/rig-2/values.rs
@@ -239,3 +239,64 @@
     rig.proxy.kill();
     judge(&rig.record, &first, &ending)
 }
+
+/// Gives the value over this time, pauses, and then gives the rest of the answer.
+fn give_with_pause(stream: &mut TcpStream, reply: &[u8], over: Duration, pause: Duration) -> bool {
+    let value_end = LONG + row_description().len() + 11;
+    let given = give_slowly(stream, &reply[..value_end], over, 30);
+    thread::sleep(pause);
+    given && stream.write_all(&reply[value_end..]).is_ok()
+}
+
+/// A database is silent between a long value, whose last byte comes after the client's time, and the end of its answer.
+pub fn endless_answer() -> i32 {
+    const SILENT: Duration = Duration::from_secs(60);
+    let answer: Arc<Answer> =
+        Arc::new(|database: &Database, query: &Query, stream: &mut TcpStream, record: &Record| {
+            record.line(format!("{} runs {} and gives its value over 3 s", database.name, query.id()));
+            let pause = if trouble() { SILENT } else { Duration::ZERO };
+            let given =
+                give_with_pause(stream, &long_reply(database, query.id()), Duration::from_secs(3), pause);
+            record.line(format!("{} has ended the answer to {}: {given}", database.name, query.id()));
+            given
+        });
+    let mut rig = start(answer);
+    let mut client = connect(&rig);
+    let id = new_id();
+    rig.record.line(format!("the client sends {id}"));
+    let _ = client.stream.set_read_timeout(Some(Duration::from_secs(50)));
+    let ending = client.ask(&read(&id, "tariff-lookup", "k1", 2500, ""));
+    rig.record.line(format!("{id}: {}; timed out: {}", describe(&ending), client.has_timed_out));
+    rig.proxy.kill();
+    if client.has_timed_out {
+        rig.record.line("broken: 50 s after the last byte of the value there is neither an answer nor an end of the connection");
+        return BROKEN;
+    }
+    rig.record.line("held: the answer is whole, or its client can tell that it is not");
+    HELD
+}
+
+/// A database pauses between a long value and the end of its answer, and the client's time ends in the pause.
+pub fn cut_before_end() -> i32 {
+    let answer: Arc<Answer> =
+        Arc::new(|database: &Database, query: &Query, stream: &mut TcpStream, record: &Record| {
+            record.line(format!("{} runs {} and gives its value over 2.2 s", database.name, query.id()));
+            let pause = if trouble() { Duration::from_millis(500) } else { Duration::ZERO };
+            let given = give_with_pause(
+                stream,
+                &long_reply(database, query.id()),
+                Duration::from_millis(2200),
+                pause,
+            );
+            record.line(format!("{} has ended the answer to {}: {given}", database.name, query.id()));
+            given
+        });
+    let mut rig = start(answer);
+    let id = new_id();
+    rig.record.line(format!("the client sends {id}"));
+    let ending = connect(&rig).ask(&read(&id, "tariff-lookup", "k1", 2500, ""));
+    rig.record.line(format!("{id}: {}", describe(&ending)));
+    sleep_ms(1000);
+    rig.proxy.kill();
+    judge(&rig.record, &id, &ending)
+}
