--- a/review/rig-2/answers.rs
+++ b/review/rig-2/answers.rs
@@ -10,9 +10,9 @@
 use std::time::{Duration, Instant};
 
 /// One way between two data rooms: the pages say 1.4 to 2.6 ms.
-const ONE_WAY: Duration = Duration::from_micros(2000);
+const ONE_WAY: Duration = Duration::from_micros(2500);
 /// The second copy follows the answer after this time, if no statement has arrived on the connection by then.
-const RIGHT_AFTER: Duration = Duration::from_micros(2000);
+const RIGHT_AFTER: Duration = Duration::from_micros(1200);
 const RUN: Duration = Duration::from_secs(20);
 const CLIENTS: usize = 6;
 
