Database connections: a second copy is not taken for the answer to the next query

What a database writes before the next query reaches it arrives up to one round trip after that query was sent. Change: the round trip to each database is measured; the rest of a connection after a reply and the earliest arrival of a reply follow from it (pool/round_trip.rs). Statements of a background query wait for the cooldown too.

--- a/proxy/src/background_query.rs
+++ b/proxy/src/background_query.rs
@@ -75,6 +75,11 @@
         self.statements.get(self.replies.len()).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a statement has a reply.
+    pub(crate) fn has_begun(&self) -> bool {
+        !self.replies.is_empty()
+    }
+
     /// Returns whether another statement must be sent after this reply to the current statement.
     pub(crate) fn continues_after(&self, reply: &Reply) -> bool {
         reply.outcome == AttemptOutcome::Ok && self.replies.len() + 1 < self.statements.len()
--- a/proxy/src/net/event_loop_context.rs
+++ b/proxy/src/net/event_loop_context.rs
@@ -15,6 +15,8 @@
     pub clock: Clock,
     /// The current time. Each turn of the loop reads the clock once before its events and once before its timers.
     pub now: Micros,
+    /// The last poll waited for its events. If it did not, they may have happened at any time during the turn before.
+    pub waited_for_events: bool,
     /// Reports sockets that are ready. The owners register their sockets with its registry.
     pub poll: Poll,
     /// The timers of all owners.
--- a/proxy/src/net/pool/background_queries.rs
+++ b/proxy/src/net/pool/background_queries.rs
@@ -36,7 +36,7 @@
         std::mem::take(&mut self.completed_queries)
     }
 
-    /// Sends the next statement of a background query on the same connection. Returns the task and its reply if the task has no
+    /// Sends the next statement of a background query on the same connection after the cooldown. Returns the task and its reply if the task has no
     /// next statement to send.
     pub(super) fn continue_background_query(
         &mut self,
@@ -50,7 +50,9 @@
                 if query.continues_after(&reply) && self.connections[key].protocol.is_idle() =>
             {
                 query.add_reply(reply);
-                self.send_query(context, key, ConnectionTask::BackgroundQuery(query));
+                let connection = &mut self.connections[key];
+                connection.query_completed(context.now);
+                self.assign_after_cooldown(context, key, ConnectionTask::BackgroundQuery(query));
                 None
             }
             task => Some((task, reply)),
--- a/proxy/src/net/pool/closing.rs
+++ b/proxy/src/net/pool/closing.rs
@@ -27,7 +27,7 @@
     }
 
     /// Closes a connection that can no longer be used. `reply` is the result of a task whose query was written. A task that
-    /// waited for the end of the cooldown is dispatched to another connection.
+    /// waited for the end of the cooldown is reassigned.
     pub(super) fn fail_connection(
         &mut self,
         context: &mut EventLoopContext,
@@ -41,7 +41,7 @@
         let query_was_written = connection.query == QueryProgress::Written;
         let Some(task) = self.close(context, key, reason) else { return };
         if was_cooling_down {
-            self.dispatch(context, server, task);
+            self.reassign(context, server, task);
         } else if query_was_written {
             self.complete_task(context, task, reply);
         } else {
@@ -72,6 +72,9 @@
     ) -> Option<ConnectionTask> {
         let mut connection = self.connections.remove(key);
         let _ = context.poll.registry().deregister(&mut connection.stream);
+        if matches!(reason, DatabaseCloseReason::UnexpectedData | DatabaseCloseReason::ProtocolError) {
+            self.round_trips.unexpected_bytes(&connection, context.now);
+        }
         if let Some(keys) = self.idle.get_mut(&connection.server) {
             keys.retain(|other| *other != key);
         }
--- a/proxy/src/net/pool/connection.rs
+++ b/proxy/src/net/pool/connection.rs
@@ -67,6 +67,14 @@
     pub query: QueryProgress,
     /// When the connection last became idle. Meaningful only while it has no query.
     pub idle_since: Micros,
+    /// When the last byte of the startup message or of the latest query was written. Meaningful once it was.
+    pub written_at: Micros,
+    /// Bytes have arrived since the startup message or the latest query was sent.
+    pub reply_started: bool,
+    /// The latest query was sent before the connection had settled, so that bytes of the reply before it may still arrive.
+    pub follows_recent_reply: bool,
+    /// The connection has completed a query.
+    pub has_completed_query: bool,
     /// When the last bytes of a streamed value arrived, or when reading it was last resumed.
     pub last_progress_at: Micros,
     /// Reading is paused until the client has taken the bytes of a streamed value that were forwarded to it.
@@ -94,11 +102,29 @@
             task: None,
             query: QueryProgress::NotQueued,
             idle_since: now,
+            written_at: now,
+            reply_started: false,
+            follows_recent_reply: false,
+            has_completed_query: false,
             last_progress_at: now,
             reading_paused: false,
         }
     }
 
+    /// Records that a query is in the output.
+    pub(super) fn query_queued(&mut self, now: Micros, settling_time: Micros) {
+        self.query = QueryProgress::Queued;
+        self.reply_started = false;
+        self.follows_recent_reply = self.has_completed_query && now - self.idle_since < settling_time;
+    }
+
+    /// Records that the connection has no query any more. The cooldown begins.
+    pub(super) fn query_completed(&mut self, now: Micros) {
+        self.has_completed_query |= self.query == QueryProgress::Written;
+        self.query = QueryProgress::NotQueued;
+        self.idle_since = now;
+    }
+
     /// Returns whether the TCP connect is still in progress or has failed.
     pub(super) fn is_connecting(&self) -> bool {
         !self.established && self.stream.peer_addr().is_err()
--- a/proxy/src/net/pool/dispatch.rs
+++ b/proxy/src/net/pool/dispatch.rs
@@ -1,5 +1,5 @@
-//! Assigns tasks to connections. In order of preference, a task gets an idle connection whose cooldown is over, an idle
-//! connection that is still cooling down, or a new connection.
+//! Assigns tasks to connections. In order of preference, a task gets an idle connection that has settled, the idle connection that
+//! has rested longest, once its cooldown is over, or a new connection.
 
 use super::super::event_loop_context::EventLoopContext;
 use super::super::ids::{ConnectionKey, ConnectionSerial};
@@ -7,11 +7,8 @@
 use super::Pool;
 use super::close_reason::DatabaseCloseReason;
 use super::connection::{Connection, ConnectionState, ConnectionTask};
-use birchreach::{Micros, ServerId};
-
-/// How long a connection is not used after a response, so that unexpected data or a close immediately after the response is not
-/// taken for an answer to the next query.
-const COOLDOWN_MICROS: Micros = 1_000;
+use crate::reply::Reply;
+use birchreach::{AttemptOutcome, Micros, ServerId};
 
 /// An idle connection that was taken for a task.
 enum IdleConnection {
@@ -31,7 +28,6 @@
     ) {
         while let Some(idle) = self.take_idle(context, server) {
             match idle {
-                // The cooldown ends before a new connection could be established.
                 IdleConnection::CoolingDown(key) => return self.assign_after_cooldown(context, key, task),
                 IdleConnection::Ready(key) => {
                     if self.verify_usable(context, key) == ConnectionState::Open {
@@ -46,26 +42,35 @@
         }
     }
 
-    /// Takes the most recently used idle connection whose cooldown is over, or else one that is cooling down.
+    /// Takes the most recently used idle connection that has settled, or else the one that has rested longest.
     fn take_idle(&mut self, context: &EventLoopContext, server: ServerId) -> Option<IdleConnection> {
-        let keys = self.idle.get_mut(&server)?;
-        let has_cooled_down =
-            |key: &ConnectionKey| context.now - self.connections[*key].idle_since >= COOLDOWN_MICROS;
-        match keys.iter().rposition(has_cooled_down) {
-            Some(index) => Some(IdleConnection::Ready(keys.remove(index))),
-            None => keys.pop().map(IdleConnection::CoolingDown),
-        }
+        let settling_time = self.round_trips.settling_time(server);
+        let cooldown = self.cooldown(context, server);
+        let keys = self.idle.get_mut(&server).filter(|keys| !keys.is_empty())?;
+        let rest = |key: ConnectionKey| context.now - self.connections[key].idle_since;
+        let settled = keys.iter().rposition(|key| rest(*key) >= settling_time);
+        let key = keys.remove(settled.unwrap_or(0));
+        Some(if rest(key) >= cooldown {
+            IdleConnection::Ready(key)
+        } else {
+            IdleConnection::CoolingDown(key)
+        })
+    }
+
+    /// Returns how long a connection to the server rests after a reply: no longer than it may take to open another one.
+    fn cooldown(&self, context: &EventLoopContext, server: ServerId) -> Micros {
+        self.round_trips.cooldown(server, context.now).min(self.connect_timeout)
     }
 
     /// Assigns a task whose query is sent once the connection's cooldown is over.
-    fn assign_after_cooldown(
+    pub(super) fn assign_after_cooldown(
         &mut self,
         context: &mut EventLoopContext,
         key: ConnectionKey,
         task: ConnectionTask,
     ) {
         let connection = &self.connections[key];
-        let cooldown_ends_at = connection.idle_since + COOLDOWN_MICROS;
+        let cooldown_ends_at = connection.idle_since + self.cooldown(context, connection.server);
         context.timers.set(cooldown_ends_at, TimerEvent::CooldownEnded(key, connection.serial));
         self.assign(key, task);
     }
@@ -118,11 +123,27 @@
         let Some(task) = connection.task.take() else { return };
         if context.core.address(server) != Some(address) {
             self.close(context, key, DatabaseCloseReason::Moved);
-            self.dispatch(context, server, task);
+            self.reassign(context, server, task);
         } else if self.verify_usable(context, key) == ConnectionState::Open {
             self.send_query(context, key, task);
         } else {
-            self.dispatch(context, server, task);
+            self.reassign(context, server, task);
+        }
+    }
+
+    /// Assigns a task whose connection was lost during the cooldown to another connection. A background query that has begun is
+    /// completed instead, since all its statements run on one connection.
+    pub(super) fn reassign(
+        &mut self,
+        context: &mut EventLoopContext,
+        server: ServerId,
+        task: ConnectionTask,
+    ) {
+        match &task {
+            ConnectionTask::BackgroundQuery(query) if query.has_begun() => {
+                self.complete_task(context, task, Reply::with_outcome(AttemptOutcome::ClosedBeforeExecution));
+            }
+            _ => self.dispatch(context, server, task),
         }
     }
 }
--- a/proxy/src/net/pool/expiry.rs
+++ b/proxy/src/net/pool/expiry.rs
@@ -133,6 +133,7 @@
 
     /// Closes the idle connections to a server that moved or was removed.
     pub(crate) fn close_idle_connections(&mut self, context: &mut EventLoopContext, server: ServerId) {
+        self.round_trips.forget(server);
         for key in self.idle.remove(&server).unwrap_or_default() {
             self.close(context, key, DatabaseCloseReason::Moved);
         }
--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -11,6 +11,7 @@
 mod opening;
 mod query;
 mod responses;
+mod round_trip;
 mod socket_io;
 #[cfg(test)]
 mod tests;
@@ -27,6 +28,7 @@
 use birchreach_settings::DeploymentSettings;
 use connection::{AttemptTask, ConnectionTask};
 use connection_table::ConnectionTable;
+use round_trip::RoundTrips;
 use rustc_hash::FxHashMap;
 
 /// Idle connections are kept for this fraction of the time after which databases close them, so that no query is sent while the
@@ -36,11 +38,12 @@
 /// The connections to all databases, and the settings that apply to them.
 pub(super) struct Pool {
     connections: ConnectionTable,
-    /// Idle connections by server, in the order in which they became idle. The last one is taken first, so that connections that
-    /// are not needed reach the idle timeout and are closed.
+    /// Idle connections by server, in the order in which they became idle. Of those that have settled the last one is taken first, so
+    /// that connections that are not needed reach the idle timeout and are closed.
     idle: FxHashMap<ServerId, Vec<ConnectionKey>>,
     /// The connection of each attempt that has not completed.
     attempt_connections: FxHashMap<AttemptId, ConnectionKey>,
+    round_trips: RoundTrips,
     max_connections: usize,
     /// The system had no free descriptor, and no connection was idle that could be closed.
     descriptors_exhausted: bool,
@@ -63,6 +66,7 @@
             connections: ConnectionTable::default(),
             idle: FxHashMap::default(),
             attempt_connections: FxHashMap::default(),
+            round_trips: RoundTrips::default(),
             max_connections,
             descriptors_exhausted: false,
             last_connection: ConnectionSerial::default(),
--- a/proxy/src/net/pool/query.rs
+++ b/proxy/src/net/pool/query.rs
@@ -44,9 +44,10 @@
                 self.start_query_timer(context, key, self.monitor_check_timeout);
             }
         }
+        let settling_time = self.round_trips.settling_time(self.connections[key].server);
         let connection = &mut self.connections[key];
         connection.task = Some(task);
-        connection.query = QueryProgress::Queued;
+        connection.query_queued(context.now, settling_time);
         self.write(context, key);
     }
 
@@ -97,8 +98,7 @@
     pub(super) fn return_to_idle(&mut self, context: &mut EventLoopContext, key: ConnectionKey) {
         let connection = &mut self.connections[key];
         connection.task = None;
-        connection.query = QueryProgress::NotQueued;
-        connection.idle_since = context.now;
+        connection.query_completed(context.now);
         if !connection.protocol.is_idle() {
             // The next bytes could not be matched to a query.
             self.close(context, key, DatabaseCloseReason::UnexpectedData);
--- a/proxy/src/net/pool/socket_io.rs
+++ b/proxy/src/net/pool/socket_io.rs
@@ -32,8 +32,12 @@
         if connection.is_connecting() {
             return self.check_connecting(context, key);
         }
+        let had_output = connection.protocol.has_output();
         match stream::write_query(&mut connection.stream, &mut connection.protocol) {
             Ok(all_written) => {
+                if had_output {
+                    connection.written_at = context.clock.now();
+                }
                 if all_written && connection.query == QueryProgress::Queued {
                     connection.query = QueryProgress::Written;
                     let is_attempt = matches!(connection.task, Some(ConnectionTask::Attempt(_)));
@@ -78,10 +82,18 @@
             let limit = context.memory.database_read_bytes(context.scratch.len());
             protocol.set_max_buffered_value(context.memory.database_read_bytes(MAX_BUFFERED_VALUE_BYTES));
             // Reads one piece at a time: its events are handled before more is buffered.
+            let mut received = false;
             let read = stream::read(&mut connection.stream, &mut context.scratch[..limit], |bytes| {
                 protocol.feed(bytes);
+                received = true;
                 false
             });
+            if received && self.round_trips.reply_started(context, connection) {
+                // The bytes do not belong to the query, which may run if all of it was written.
+                let reply = Reply::with_outcome(AttemptOutcome::Error);
+                self.fail_connection(context, key, DatabaseCloseReason::UnexpectedData, reply);
+                return ConnectionState::Closed;
+            }
             if self.handle_events(context, key) == ConnectionState::Closed {
                 return ConnectionState::Closed;
             }
--- a/proxy/src/net/run_once.rs
+++ b/proxy/src/net/run_once.rs
@@ -20,6 +20,9 @@
 /// The pause after a poll that failed, so that the loop is not busy until the error has passed.
 const FAILED_POLL_PAUSE: Duration = Duration::from_millis(1);
 
+/// A poll that takes less time has found its events and not waited for them.
+const MIN_WAIT_MICROS: Micros = 20;
+
 /// Waits a moment after a poll that failed, unless a signal interrupted it. Fails if the error does not pass by itself.
 fn wait_after_failed_poll(error: Error) -> Result<(), EventLoopError> {
     match SystemErrorClass::of(&error) {
@@ -70,6 +73,7 @@
             wait_after_failed_poll(error)?;
         }
         self.context.now = self.context.clock.now();
+        self.context.waited_for_events = self.context.now - waiting_since >= MIN_WAIT_MICROS;
         self.health.idle_time += if has_work { 0 } else { self.context.now - waiting_since };
         Ok(())
     }
--- a/proxy/src/net/start.rs
+++ b/proxy/src/net/start.rs
@@ -108,7 +108,16 @@
         let (settings, seed) = (&config.deployment.routing, config.seed);
         let clients = Clients::new(listener, limits.clients);
         Ok(EventLoop {
-            context: EventLoopContext { clock, now, poll, timers: Timers::new(), core, memory, scratch },
+            context: EventLoopContext {
+                clock,
+                now,
+                waited_for_events: false,
+                poll,
+                timers: Timers::new(),
+                core,
+                memory,
+                scratch,
+            },
             clients,
             pool: Pool::new(&config.deployment, limits.databases),
             discovery: DiscoveryConnection::new(config.discovery_address, known_revision, settings, seed),
--- a/proxy/src/net/test_context.rs
+++ b/proxy/src/net/test_context.rs
@@ -14,6 +14,7 @@
     EventLoopContext {
         clock,
         now,
+        waited_for_events: true,
         poll: Poll::new().unwrap(),
         timers: Timers::new(),
         core: Core::new(settings, 1, now),
--- a/proxy/src/pg/backend/long_statement.rs
+++ b/proxy/src/pg/backend/long_statement.rs
@@ -50,6 +50,11 @@
 }
 
 impl Backend {
+    /// Returns whether output has still to be written.
+    pub(crate) fn has_output(&self) -> bool {
+        self.long_statement.is_some() || !self.outbox.pending().is_empty()
+    }
+
     /// Returns the output that has not been written if a part of it is a long statement. `None`: all of it is in the outbox.
     pub(crate) fn long_output(&self) -> Option<[&[u8]; PART_COUNT + 1]> {
         let [head, timeout, tail, end] = self.long_statement.as_ref()?.pending();
--- a/test-support/src/database.rs
+++ b/test-support/src/database.rs
@@ -31,6 +31,10 @@
     answer_pace: Option<Pace>,
     /// The pace at which it reads statements; `None` reads them at once.
     statement_pace: Option<Pace>,
+    /// How long after an answer it sends a second copy; `None` sends none.
+    second_copy_delay: Option<Duration>,
+    /// If set, every statement whose number is a multiple of this meets a full queue.
+    rejected_interval: Option<u64>,
     /// If set, it applies no further commits and answers reads from this data.
     paused: Option<PausedData>,
 }
@@ -71,6 +75,8 @@
             delay_by_class: HashMap::new(),
             answer_pace: None,
             statement_pace: None,
+            second_copy_delay: None,
+            rejected_interval: None,
             paused: None,
         });
         let inner = Inner {
@@ -137,6 +143,16 @@
         self.change_behavior(|behavior| behavior.statement_pace = pace);
     }
 
+    /// Sets after which time a second copy follows each answer, if no further statement has arrived by then.
+    pub fn set_second_copy(&self, delay: Option<Duration>) {
+        self.change_behavior(|behavior| behavior.second_copy_delay = delay);
+    }
+
+    /// Makes every statement whose number is a multiple of `interval` meet a full queue.
+    pub fn set_rejected_interval(&self, interval: Option<u64>) {
+        self.change_behavior(|behavior| behavior.rejected_interval = interval);
+    }
+
     /// Makes the database apply no further commits, until it is the primary: it answers reads from its present data and reports its
     /// present position.
     pub fn pause_replication(&self) {
@@ -201,6 +217,10 @@
         lock(&self.0.behavior).statement_pace
     }
 
+    fn second_copy_delay(&self) -> Option<Duration> {
+        lock(&self.0.behavior).second_copy_delay
+    }
+
     fn wait_while_hung(&self) -> bool {
         let mut behavior = lock(&self.0.behavior);
         while behavior.hung && behavior.available {
@@ -210,7 +230,11 @@
     }
 
     fn answer_statement(&self, query: &str) -> Option<Vec<u8>> {
-        self.0.statement_count.fetch_add(1, Ordering::Relaxed);
+        let number = self.0.statement_count.fetch_add(1, Ordering::Relaxed) + 1;
+        let rejected_interval = lock(&self.0.behavior).rejected_interval;
+        if rejected_interval.is_some_and(|interval| number.is_multiple_of(interval)) {
+            return Some(error_response("53300", "the queue is full"));
+        }
         self.sleep_for_delay(query);
         self.wait_while_hung().then(|| self.execute(query))
     }
--- a/test-support/src/database_server.rs
+++ b/test-support/src/database_server.rs
@@ -41,6 +41,11 @@
         None
     }
 
+    /// How long after an answer it sends a second copy, if no further statement has arrived; `None` sends none.
+    fn second_copy_delay(&self) -> Option<Duration> {
+        None
+    }
+
     /// Waits while the database hangs. Returns false if it is unavailable.
     fn wait_while_hung(&self) -> bool;
 
@@ -110,7 +115,14 @@
             if self.database.incarnation() != incarnation {
                 break;
             }
+            let second_copy = self.database.second_copy_delay().map(|delay| (delay, answer.clone()));
             self.write_with_ready_for_query(answer)?;
+            if let Some((delay, copy)) = second_copy {
+                thread::sleep(delay);
+                if !self.has_input()? {
+                    self.write_with_ready_for_query(copy)?;
+                }
+            }
         }
         Ok(())
     }
@@ -128,6 +140,14 @@
         Ok(())
     }
 
+    /// Whether a part of the next statement has arrived.
+    fn has_input(&self) -> io::Result<bool> {
+        self.stream.set_nonblocking(true)?;
+        let has_input = self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_nonblocking(false)?;
+        Ok(has_input)
+    }
+
     /// Reads the next statement. Returns `None` if the next message is not a Query.
     fn read_query(&mut self) -> io::Result<Option<String>> {
         let mut tag = [0];
--- a/test-support/src/lib.rs
+++ b/test-support/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod database;
 mod database_server;
 pub mod discovery;
+pub mod distance;
 pub mod fleet;
 pub mod groups;
 mod links;
