Clients: a connection is closed only when the client's machine has its answers

Cause: output that was passed to the system counted as delivered. A close over unread input, or input after the close, resets the connection, and the system drops what the client has not fetched. The way over errors ended after 0.5 s in the same manner, and so did the end of the process. Change: connections that are closed by this process wait, unread, until all output is acknowledged (clients/delivery.rs); a client that still fetches is not shed; the exit is put off while answers are on their way, 30 s at most.

--- a/proxy/src/net/clients/client.rs
+++ b/proxy/src/net/clients/client.rs
@@ -3,6 +3,7 @@
 use super::super::statement_payload::StatementPayload;
 use super::super::stream::StreamEnd;
 use super::close_reason::ClientCloseReason;
+use super::delivery::Delivery;
 use super::memory::InputMemory;
 use crate::core::AttemptId;
 use crate::pg::frontend::{EndReason, Frontend};
@@ -49,6 +50,8 @@
         until: Micros,
         max_bytes: usize,
     },
+    /// The output was passed to the system, which still holds some of it. Nothing more is read.
+    AwaitingDelivery(Delivery),
 }
 
 /// Classes of clients, in the order in which they are shed.
--- a/proxy/src/net/clients/expiry.rs
+++ b/proxy/src/net/clients/expiry.rs
@@ -9,7 +9,7 @@
 use birchreach::Micros;
 
 /// A client that does not read its answers for this time is closed. The time is longer than any request's deadline.
-const UNREAD_OUTPUT_TIMEOUT_MICROS: Micros = 10_000_000;
+pub(super) const UNREAD_OUTPUT_TIMEOUT_MICROS: Micros = 10_000_000;
 /// A connection is closed after it has been without a request for this time.
 const IDLE_TIMEOUT_MICROS: Micros = 5_000_000;
 /// The timeout for the first request and for the rest of a message. A slow client may take 2 s, and a client that sends nothing
@@ -24,6 +24,8 @@
             Some(Closing { reason, mode: CloseMode::Draining { until, .. } }) => {
                 return (now >= until).then_some(reason);
             }
+            // Checked more often than other timeouts.
+            Some(Closing { mode: CloseMode::AwaitingDelivery(_), .. }) => return None,
             Some(Closing { reason, .. }) => {
                 return (inactive_for >= INCOMPLETE_MESSAGE_TIMEOUT_MICROS).then_some(reason);
             }
@@ -73,7 +75,8 @@
                 client.last_active_at = context.now;
                 self.handle_ready(context, key);
             }
-            Some(reason) => self.close(context, key, reason),
+            Some(reason @ ClientCloseReason::Unresponsive) => self.close(context, key, reason),
+            Some(reason) => self.close_after_delivery(context, key, reason),
             None => {}
         }
     }
--- a/proxy/src/net/clients/mod.rs
+++ b/proxy/src/net/clients/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod close_reason;
 mod closing;
+mod delivery;
 mod expiry;
 mod held_ids;
 mod memory;
@@ -70,6 +71,8 @@
     /// Attempts that can continue to read their streamed values, because all bytes that they have read were written to the
     /// clients' sockets.
     attempts_to_resume: Vec<AttemptId>,
+    /// Clients that are closed once their output is delivered. A key may belong to another client by now.
+    awaiting_delivery: Vec<ClientKey>,
     /// Closed when the system has no free descriptor, so that the next accept shows whether a client is waiting.
     reserve_descriptor: Option<File>,
 }
@@ -113,6 +116,7 @@
             turn_incomplete: Vec::new(),
             awaiting_memory: VecDeque::new(),
             attempts_to_resume: Vec::new(),
+            awaiting_delivery: Vec::new(),
             reserve_descriptor: open_reserve_descriptor(),
         }
     }
--- a/proxy/src/net/clients/shed.rs
+++ b/proxy/src/net/clients/shed.rs
@@ -74,8 +74,11 @@
             test_hooks::stop_process_at(StopPoint::Shed);
             // Input may have arrived in the meantime. It is read first, so that the close does not race with a request.
             self.handle_ready(context, key);
-            let Some(client) = self.connections.get(key.0) else { return };
-            if client.can_be_shed() && client.shed_rank(context.now) == rank {
+            let Some(client) = self.connections.get_mut(key.0) else { return };
+            if client.has_undelivered_output() {
+                // It still fetches its last answer, which a reset would cut off.
+                client.last_active_at = context.now;
+            } else if client.can_be_shed() && client.shed_rank(context.now) == rank {
                 return match rank.class {
                     ShedClass::Stalled => self.reject(context, key, ClientCloseReason::Shed),
                     _ => self.close(context, key, ClientCloseReason::Shed),
--- a/proxy/src/net/clients/turn.rs
+++ b/proxy/src/net/clients/turn.rs
@@ -40,6 +40,12 @@
     /// Serves the client for one turn, and closes the connection if it has ended or is to be closed.
     pub(super) fn process_client(&mut self, context: &mut EventLoopContext, key: ClientKey) {
         let Some(client) = self.connections.get_mut(key.0) else { return };
+        if client.awaits_delivery() {
+            if let Some(reason) = client.check_delivery(context.now) {
+                self.close(context, key, reason);
+            }
+            return;
+        }
         let close_reason = client.process_turn(context, &mut self.admission, key);
         let made_first_request = client.awaits_first_request && client.open_request.is_some();
         client.awaits_first_request &= !made_first_request;
@@ -48,9 +54,9 @@
         if let Some(reason) = close_reason {
             self.close(context, key, reason);
         } else if self.shutting_down && !has_request && client.protocol.all_input_answered() {
-            self.close(context, key, ClientCloseReason::Stopping);
+            self.close_after_delivery(context, key, ClientCloseReason::Stopping);
         } else if client.close_when_idle && !has_request && client.protocol.is_idle() {
-            self.close(context, key, ClientCloseReason::HandedOver);
+            self.close_after_delivery(context, key, ClientCloseReason::HandedOver);
         } else {
             self.queue(key);
         }
--- a/proxy/src/net/graceful_shutdown.rs
+++ b/proxy/src/net/graceful_shutdown.rs
@@ -27,6 +27,12 @@
 /// The process exits this long after the last accepted request can time out, when no client still waits for a response.
 const EXIT_AFTER_LONGEST_TIMEOUT_MICROS: Micros = 1_500_000;
 
+/// How long the exit is put off in all while clients still fetch their answers, so that a client that hardly reads cannot keep the
+/// process.
+const MAX_EXIT_DELAY_MICROS: Micros = 30_000_000;
+/// How often the exit is tried again meanwhile.
+const EXIT_RETRY_INTERVAL_MICROS: Micros = 100_000;
+
 /// Returns the longest time from SIGTERM to the exit of a process that shares its listener.
 pub(super) fn longest_duration(longest_client_timeout: Micros) -> Micros {
     CLOSE_IDLE_AFTER_HANDOVER_MICROS + longest_client_timeout + EXIT_AFTER_LONGEST_TIMEOUT_MICROS
@@ -62,6 +68,18 @@
         let exit_at = close_idle_at + self.longest_client_timeout + EXIT_AFTER_LONGEST_TIMEOUT_MICROS;
         self.context.timers.set(close_idle_at, TimerEvent::CloseIdleClients);
         self.context.timers.set(exit_at, TimerEvent::Exit);
+        self.exit_by = exit_at + MAX_EXIT_DELAY_MICROS;
+    }
+
+    /// Exits the process. Waits while answers are on their way to clients, since the end of the process would cut them off.
+    pub(super) fn exit_unless_answering(&mut self) {
+        let now = self.context.now;
+        if now < self.exit_by && self.clients.has_answers_under_way() {
+            return self.context.timers.set(now + EXIT_RETRY_INTERVAL_MICROS, TimerEvent::Exit);
+        }
+        info!(event = "stopped", open = self.context.core.open_request_count());
+        self.handover.announce_finished();
+        std::process::exit(0);
     }
 
     /// Closes idle clients and leaves the fleet. Each other client is closed after its response.
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -88,6 +88,8 @@
     /// The shutdown of clients is scheduled. Connections still arrive for a while, and idle clients may send another
     /// request until they are closed.
     client_shutdown_scheduled: bool,
+    /// When the process exits at the latest. Meaningful once the shutdown of clients is scheduled.
+    exit_by: Micros,
     /// Idle clients were closed. The loop ends when the last client disconnects.
     clients_closed: bool,
 }
--- a/proxy/src/net/start.rs
+++ b/proxy/src/net/start.rs
@@ -134,6 +134,7 @@
             reload_tries: 0,
             stopping: false,
             client_shutdown_scheduled: false,
+            exit_by: 0,
             clients_closed: false,
         })
     }
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -3,6 +3,7 @@
 use crate::outbox::Outbox;
 use crate::pg::backend::Backend;
 use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::os::fd::AsRawFd;
 
 /// How a connection ended, according to the socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +59,14 @@
     Ok(written)
 }
 
+/// Returns the number of written bytes that the peer's machine has not acknowledged; zero if the system does not tell.
+pub(super) fn unacknowledged_bytes(stream: &impl AsRawFd) -> usize {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open, and the call writes an int to a valid address.
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result == 0 { usize::try_from(bytes).unwrap_or(0) } else { 0 }
+}
+
 /// Writes the output of a database connection as far as the socket accepts it, with one system call for all parts of a long
 /// statement. Returns whether all of the output has been written.
 pub(super) fn write_query(stream: &mut impl Write, protocol: &mut Backend) -> Result<bool, StreamEnd> {
--- a/proxy/src/net/timer_dispatch.rs
+++ b/proxy/src/net/timer_dispatch.rs
@@ -4,7 +4,6 @@
 use super::sources::Source;
 use super::timer_events::TimerEvent;
 use super::{EventLoop, PERIODIC_TASK_INTERVAL_MICROS};
-use tracing::info;
 
 impl EventLoop {
     /// Passes a due timer to its owner. Timers are never cancelled, so each owner checks whether the timer still
@@ -18,6 +17,7 @@
             TimerEvent::QueryTimeout(key, serial) => self.pool.query_timed_out(context, key, serial),
             TimerEvent::CooldownEnded(key, serial) => self.pool.cooldown_ended(context, key, serial),
             TimerEvent::RetryAccept => self.clients.resume_accepting(),
+            TimerEvent::CheckDeliveries => self.clients.check_deliveries(context),
             TimerEvent::Discovery(state_serial) => self.discovery.timed_out(context, state_serial),
             TimerEvent::PeriodicTasks => self.run_periodic_tasks(),
             TimerEvent::CheckTimeout(key, serial) => self.checks.query_timed_out(context, key, serial),
@@ -45,11 +45,7 @@
             TimerEvent::RetryReload => self.try_reload(),
             TimerEvent::ShutdownNoticeEnded => self.schedule_client_shutdown(),
             TimerEvent::CloseIdleClients => self.close_idle_clients(),
-            TimerEvent::Exit => {
-                info!(event = "stopped", open = context.core.open_request_count());
-                self.handover.announce_finished();
-                std::process::exit(0);
-            }
+            TimerEvent::Exit => self.exit_unless_answering(),
         }
     }
 
--- a/proxy/src/net/timer_events.rs
+++ b/proxy/src/net/timer_events.rs
@@ -22,6 +22,8 @@
     CooldownEnded(ConnectionKey, ConnectionSerial),
     /// The pause in accepting clients is over. Accepting pauses when the system has no free descriptor.
     RetryAccept,
+    /// Connections to clients that are closed once their output is delivered are checked.
+    CheckDeliveries,
     /// The next poll of discovery is due, or a state of the current one has timed out.
     Discovery(PollStateSerial),
     /// The periodic tasks are due: connections that have been idle for too long are closed, and the load is reported.
--- a/test-support/src/client.rs
+++ b/test-support/src/client.rs
@@ -1,9 +1,11 @@
 //! A PostgreSQL client of the proxy with one connection, which sends one statement at a time.
 
+use crate::crowd::Pace;
 use crate::wire::{DATA_ROW, ERROR_RESPONSE, QUERY, READY_FOR_QUERY, TERMINATE, message, startup_message};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
 use std::time::Duration;
 
 /// Time limit for connecting.
@@ -31,6 +33,8 @@
 /// A connection that has completed the startup exchange.
 pub struct Client {
     stream: TcpStream,
+    /// The pace at which bodies of messages are read; `None` reads them at once.
+    read_pace: Option<Pace>,
 }
 
 /// The next request id; ids are unique within a test process.
@@ -50,7 +54,7 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(REPLY_TIMEOUT))?;
         stream.write_all(&startup_message())?;
-        Ok(Client { stream })
+        Ok(Client { stream, read_pace: None })
     }
 
     /// Reads the row that [`Client::write`] writes. `deadline_ms` is the request's deadline in milliseconds.
@@ -102,6 +106,21 @@
         self.stream.set_read_timeout(Some(timeout))
     }
 
+    /// Sets the pace at which the client reads replies.
+    pub fn set_read_pace(&mut self, pace: Option<Pace>) {
+        self.read_pace = pace;
+    }
+
+    /// Returns another handle of the same connection.
+    pub fn try_clone(&self) -> io::Result<Client> {
+        Ok(Client { stream: self.stream.try_clone()?, read_pace: self.read_pace })
+    }
+
+    /// Sends bytes as they are.
+    pub fn send_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     /// Ends the sending side of the connection, and keeps the receiving side open.
     pub fn end_sending(&self) -> io::Result<()> {
         self.stream.shutdown(Shutdown::Write)
@@ -140,6 +159,18 @@
         self.stream.write_all(&message(QUERY, &body))
     }
 
+    /// Reads the body of a message at the client's pace.
+    fn read_body(&mut self, body: &mut [u8]) -> io::Result<()> {
+        let Some(pace) = self.read_pace else { return self.stream.read_exact(body) };
+        for piece in body.chunks_mut(pace.bytes) {
+            self.stream.read_exact(piece)?;
+            if piece.len() == pace.bytes {
+                thread::sleep(pace.interval);
+            }
+        }
+        Ok(())
+    }
+
     /// Reads messages up to ReadyForQuery and returns the row or error among them.
     pub fn read_reply(&mut self) -> io::Result<Reply> {
         let mut reply = Reply::Served(Vec::new());
@@ -148,7 +179,7 @@
             self.stream.read_exact(&mut head)?;
             let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
             let mut body = vec![0; length.saturating_sub(4).min(MAX_MESSAGE_BYTES)];
-            self.stream.read_exact(&mut body)?;
+            self.read_body(&mut body)?;
             match head[0] {
                 DATA_ROW => reply = Reply::Served(body.get(ROW_VALUE_OFFSET..).unwrap_or_default().to_vec()),
                 ERROR_RESPONSE if is_fatal(&body) => return Ok(Reply::Error(sqlstate(&body))),
--- a/test-support/src/rows.rs
+++ b/test-support/src/rows.rs
@@ -27,6 +27,11 @@
         lock(&self.executions_by_request).values().filter(|count| **count > 1).count()
     }
 
+    /// Sets the value of a key, which may be longer than a client could write.
+    pub fn set_value(&self, key: &str, value: String) {
+        lock(&self.value_by_key).insert(key.into(), value);
+    }
+
     /// The values that were last written to all keys.
     pub(crate) fn values(&self) -> HashMap<String, String> {
         lock(&self.value_by_key).clone()
