Roles: a report as primary counts from the sending of its query

Cause: Router::record_status dated a role by the end of its answer, which may be seconds younger than the report in it. Change: a report as primary counts from the sending of its query, one as replica from its arrival; the same for load reports. A query sent before the list showed a new process does not confirm that process. The rest of a streamed answer is no sign of life any more: its first bytes are.

--- a/src/policy/attempt_results.rs
+++ b/src/policy/attempt_results.rs
@@ -3,7 +3,7 @@
 use super::Router;
 use super::outlier_detection::EjectionReason;
 use super::pending::{AttemptKey, InFlightAttempt, PossibleExecution};
-use crate::interface::{Action, AttemptOutcome, AttemptResult, Consistency, Micros, RequestId, ServerId};
+use crate::interface::{Action, AttemptOutcome, AttemptResult, Consistency, Micros, RequestId};
 
 /// Initial backoff before a retry at the primary, which may be the same server. Doubles with each attempt.
 const RETRY_BACKOFF: Micros = 10_000;
@@ -27,7 +27,7 @@
             self.adjust_concurrency_limit(&attempt, result.outcome);
         }
         self.record_reported_state(&attempt, &result);
-        self.update_outlier_detection(attempt.server, result.outcome, actions);
+        self.update_outlier_detection(&attempt, result.outcome, actions);
         self.update_request(&attempt, &result, actions);
         self.retry_or_finish(result.request, result.outcome, actions);
         self.retry_queued(group, actions);
@@ -64,10 +64,10 @@
     /// position of a write.
     fn record_reported_state(&mut self, attempt: &InFlightAttempt, result: &AttemptResult) {
         if let Some(report) = result.load_report {
-            self.record_load_report(attempt.server, report);
+            self.record_load_report(attempt.server, report, attempt.sent_at);
         }
         let Some(status) = result.status else { return };
-        self.record_status(attempt.server, status);
+        self.record_status(attempt.server, status, attempt.sent_at);
         let is_write = self.settings.classes[attempt.class.index()].consistency == Consistency::Write;
         let is_committed = is_write && result.outcome == AttemptOutcome::Ok;
         if let (true, Some(session), Some(position)) = (is_committed, attempt.session, status.position) {
@@ -77,8 +77,19 @@
 
     /// Updates the failure rate of the server. Ejects the server at once if the outcome alone is a sufficient
     /// reason.
-    fn update_outlier_detection(&mut self, id: ServerId, outcome: AttemptOutcome, actions: &mut Vec<Action>) {
+    fn update_outlier_detection(
+        &mut self,
+        attempt: &InFlightAttempt,
+        outcome: AttemptOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let id = attempt.server;
         match outcome {
+            // The start of the response has shown that the server is alive. The rest may have been on its
+            // way for long.
+            AttemptOutcome::Ok if attempt.response_started_at.is_some() => {
+                self.record_outcome(id, false, actions);
+            }
             AttemptOutcome::Ok | AttemptOutcome::Ineligible => self.record_answer(id, false, actions),
             AttemptOutcome::Error => self.record_answer(id, true, actions),
             AttemptOutcome::ConnectFailed => self.eject(id, EjectionReason::Unresponsive, actions),
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -95,7 +95,7 @@
             if !was_released {
                 server.concurrency.attempt_released();
             }
-            server.outlier.record_response(self.now);
+            server.outlier.record_sign_of_life(self.now);
         }
         if self.settings.cancellation_allowed {
             let others = request.in_flight_attempts.iter().filter(|attempt| **attempt != key.attempt);
--- a/src/policy/health_checks.rs
+++ b/src/policy/health_checks.rs
@@ -6,14 +6,15 @@
 /// State of the health checks of a server.
 #[derive(Default)]
 pub(super) struct HealthCheckState {
-    in_flight: bool,
+    /// When the check in flight was requested.
+    sent_at: Option<Micros>,
     /// Time of the last check if it failed. Requests may succeed nevertheless.
     failed_at: Option<Micros>,
 }
 
 impl HealthCheckState {
     pub(super) fn is_in_flight(&self) -> bool {
-        self.in_flight
+        self.sent_at.is_some()
     }
 
     /// Whether the last check failed.
@@ -27,7 +28,7 @@
     }
 
     fn record_outcome(&mut self, outcome: AttemptOutcome, now: Micros) {
-        self.in_flight = false;
+        self.sent_at = None;
         let has_failed = !matches!(outcome, AttemptOutcome::Ok | AttemptOutcome::NotSent);
         self.failed_at = has_failed.then_some(now);
     }
@@ -37,7 +38,8 @@
     /// Requests a health check of a server, unless one is in flight.
     pub(super) fn start_health_check(&mut self, id: ServerId, actions: &mut Vec<Action>) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        if !std::mem::replace(&mut server.health_check.in_flight, true) {
+        if server.health_check.sent_at.is_none() {
+            server.health_check.sent_at = Some(self.now);
             actions.push(Action::HealthCheck { server: id });
         }
     }
@@ -52,6 +54,8 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(server) = self.servers.get_mut(&id) else { return };
+        // Positions that another proxy reports come without a check.
+        let sent_at = server.health_check.sent_at.unwrap_or(self.now);
         server.health_check.record_outcome(outcome, self.now);
         // A server that hangs may still respond to health checks. If hedging is allowed, only responses to
         // requests show that the server is alive.
@@ -60,7 +64,7 @@
         }
         let group = server.endpoint.listed().group;
         if let Some(report) = load_report.filter(|_| outcome == AttemptOutcome::Ok) {
-            self.record_load_report(id, report);
+            self.record_load_report(id, report, sent_at);
         }
         self.retry_queued(group, actions);
     }
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -86,6 +86,12 @@
         self.last_response_at = Some(now);
     }
 
+    /// Records a response that shows that requests are processed.
+    pub(super) fn record_sign_of_life(&mut self, now: Micros) {
+        self.record_response(now);
+        self.unresponsive = false;
+    }
+
     pub(super) fn record_answer_to_attempt_sent_at(&mut self, sent_at: Micros) {
         self.newest_answered_sent_at = self.newest_answered_sent_at.max(Some(sent_at));
     }
@@ -147,8 +153,7 @@
     /// Records that the server answered a request. `failed` means that it answered with an error.
     pub(super) fn record_answer(&mut self, id: ServerId, failed: bool, actions: &mut Vec<Action>) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.outlier.record_response(self.now);
-        server.outlier.unresponsive = false;
+        server.outlier.record_sign_of_life(self.now);
         self.record_outcome(id, failed, actions);
     }
 
--- a/src/policy/replication.rs
+++ b/src/policy/replication.rs
@@ -1,6 +1,13 @@
 //! Replication state: the confirmed role and log position of each server.
+//!
+//! A server writes a report at some time between the sending of the query and the arrival of the report. If
+//! the order of two reports is not certain, the server counts as a replica. If it were wrongly taken for the
+//! primary, its data could be too old; a write that a primary is wrongly not sent goes to each member in
+//! turn, and its answer confirms the primary again. So a report as primary counts from its earliest possible
+//! time, and a report as replica from its latest. A position is reached for good, whenever it was reported.
 
 use super::Router;
+use super::servers::Server;
 use crate::interface::{GroupId, LoadReport, Micros, Role, ServerId, ServerStatus};
 
 /// Time for which a replica counts as lagging after a report that shows too large a lag.
@@ -83,6 +90,16 @@
     }
 }
 
+impl Server {
+    /// Records that the server was primary at this time, unless that was before its present process was
+    /// listed.
+    fn record_primary(&mut self, confirmed_at: Micros) {
+        if self.process_listed_at <= Some(confirmed_at) {
+            self.replication.record_role(Role::Primary, confirmed_at);
+        }
+    }
+}
+
 impl Router {
     /// The member that was last confirmed as primary. If there is none, the member that is listed as primary.
     pub(super) fn primary(&self, group: GroupId) -> Option<ServerId> {
@@ -113,24 +130,28 @@
         }
     }
 
-    /// Records the role and position that a server reports in a response.
-    pub(super) fn record_status(&mut self, id: ServerId, status: ServerStatus) {
+    /// Records the role and position that a server reports in the response to a query that was sent at
+    /// `sent_at`.
+    pub(super) fn record_status(&mut self, id: ServerId, status: ServerStatus, sent_at: Micros) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         if let Some(position) = status.position {
             server.replication.record_position(position, self.now);
         }
-        server.replication.record_role(status.role, self.now);
+        match status.role {
+            Role::Primary => server.record_primary(sent_at),
+            Role::Replica => server.replication.record_role(Role::Replica, self.now),
+        }
     }
 
-    /// Records a load report, which may be slightly outdated. The position of a primary is the time of the
-    /// report, so that a later confirmation as replica takes precedence. A load report never confirms a
+    /// Records a load report in the response to a query that was sent at `sent_at`. The report may be
+    /// slightly outdated: the position of a primary is the time of the report. A load report never confirms a
     /// server as replica.
-    pub(super) fn record_load_report(&mut self, id: ServerId, report: LoadReport) {
+    pub(super) fn record_load_report(&mut self, id: ServerId, report: LoadReport, sent_at: Micros) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let Some(position) = report.position else { return };
         server.replication.record_position(position, self.now);
         if report.role == Some(Role::Primary) {
-            server.replication.record_role(Role::Primary, position.min(self.now));
+            server.record_primary(position.min(sent_at));
         }
     }
 }
