Handover: the new process begins a write only if the old one grants its id

Cause: the new process took clients before it knew the ids of the old one's open requests, and until the answer was there every id passed. An id that came to both in one instant was told to the other too late. Change: the older process decides for both; the newer one asks it for each write (process_handover/grants.rs, clients/grants.rs). Settled before the first client; earlier versions are not asked. Two tests of the handover expect the new first line of a link ("yields 2"); they are as strict as before.

--- a/proxy/src/handover_protocol.rs
+++ b/proxy/src/handover_protocol.rs
@@ -30,6 +30,16 @@
     /// `yields 1`: the sender understands request ids. An earlier version takes it for a time, as it does `yields 0`. The older process
     /// sends it in answer to that of the newer one.
     SharesRequestIds,
+    /// `yields 2`: the sender understands the three messages below. An earlier version takes it for a time, as it does `yields 0`. The
+    /// older process sends it in answer to that of the newer one.
+    GrantsRequests,
+    /// `begin H T`, from the newer process: it may begin the request whose id has the hash `H` only if the older one grants that. Nothing
+    /// of it begins after the time `T`, in Unix microseconds of the system's clock.
+    MayBegin { id: u64, until: i64 },
+    /// `granted H`: the older process does not begin this request any more before its time.
+    RequestGranted(u64),
+    /// `taken H`: the request may run already.
+    RequestTaken(u64),
     /// `begun H T`: the sender begins the request whose id has the hash `H` (in 16 hexadecimal digits). Nothing of it begins after the
     /// time `T`, in Unix microseconds of the system's clock.
     RequestBegun { id: u64, until: i64 },
@@ -72,6 +82,8 @@
 const SHARES_SESSION_WRITES_TIME: i64 = 0;
 /// The time of the line `yields` that stands for [`HandoverMessage::SharesRequestIds`].
 const SHARES_REQUEST_IDS_TIME: i64 = 1;
+/// The time of the line `yields` that stands for [`HandoverMessage::GrantsRequests`].
+const GRANTS_REQUESTS_TIME: i64 = 2;
 
 /// A received line is not a message, or is too long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,6 +129,10 @@
             HandoverMessage::StopsAcceptingAt(unix_micros) => format!("yields {unix_micros}\n"),
             HandoverMessage::SharesSessionWrites => format!("yields {SHARES_SESSION_WRITES_TIME}\n"),
             HandoverMessage::SharesRequestIds => format!("yields {SHARES_REQUEST_IDS_TIME}\n"),
+            HandoverMessage::GrantsRequests => format!("yields {GRANTS_REQUESTS_TIME}\n"),
+            HandoverMessage::MayBegin { id, until } => format!("begin {id:016x} {until}\n"),
+            HandoverMessage::RequestGranted(id) => format!("granted {id:016x}\n"),
+            HandoverMessage::RequestTaken(id) => format!("taken {id:016x}\n"),
             HandoverMessage::RequestBegun { id, until } => format!("begun {id:016x} {until}\n"),
             HandoverMessage::SessionWritten { session: SessionId(session), position } => {
                 format!("committed {session:016x} {position}\n")
@@ -144,10 +160,18 @@
         Some(("yields", unix_micros)) => match parse_number(unix_micros)? {
             SHARES_SESSION_WRITES_TIME => Ok(HandoverMessage::SharesSessionWrites),
             SHARES_REQUEST_IDS_TIME => Ok(HandoverMessage::SharesRequestIds),
+            GRANTS_REQUESTS_TIME => Ok(HandoverMessage::GrantsRequests),
             unix_micros => Ok(HandoverMessage::StopsAcceptingAt(unix_micros)),
         },
         Some(("committed", write)) => parse_session_write(write),
-        Some(("begun", request)) => parse_request(request),
+        Some(("begun", request)) => {
+            parse_request(request).map(|(id, until)| HandoverMessage::RequestBegun { id, until })
+        }
+        Some(("begin", request)) => {
+            parse_request(request).map(|(id, until)| HandoverMessage::MayBegin { id, until })
+        }
+        Some(("granted", id)) => parse_id(id).map(HandoverMessage::RequestGranted),
+        Some(("taken", id)) => parse_id(id).map(HandoverMessage::RequestTaken),
         Some(("missed", position)) => parse_number(position).map(HandoverMessage::SessionWritesMissed),
         Some(("current", unix_micros)) => {
             parse_number(unix_micros).map(HandoverMessage::SessionWritesReportedUntil)
@@ -174,10 +198,14 @@
 }
 
 /// Parses the id and the deadline of a request.
-fn parse_request(request: &str) -> Result<HandoverMessage, InvalidMessage> {
+fn parse_request(request: &str) -> Result<(u64, i64), InvalidMessage> {
     let (id, until) = request.split_once(' ').ok_or(InvalidMessage)?;
-    let id = u64::from_str_radix(id, 16).map_err(|_| InvalidMessage)?;
-    Ok(HandoverMessage::RequestBegun { id, until: parse_number(until)? })
+    Ok((parse_id(id)?, parse_number(until)?))
+}
+
+/// Parses the hash of a request's id.
+fn parse_id(id: &str) -> Result<u64, InvalidMessage> {
+    u64::from_str_radix(id, 16).map_err(|_| InvalidMessage)
 }
 
 fn parse_number<N: FromStr>(text: &str) -> Result<N, InvalidMessage> {
--- a/proxy/src/net/clients/client.rs
+++ b/proxy/src/net/clients/client.rs
@@ -4,6 +4,7 @@
 use super::super::stream::StreamEnd;
 use super::close_reason::ClientCloseReason;
 use super::delivery::Delivery;
+use super::grants::WaitingWrite;
 use super::memory::InputMemory;
 use crate::core::AttemptId;
 use crate::pg::frontend::{EndReason, Frontend};
@@ -98,6 +99,8 @@
     serial: ClientSerial,
     pub protocol: Frontend,
     pub open_request: Option<OpenRequest>,
+    /// A write that waits until another process has granted that it begins.
+    pub waiting_write: Option<WaitingWrite>,
     /// Set while the answer to the open request is being forwarded in chunks.
     pub streamed_value: Option<StreamedValue>,
     pub answered_requests: u64,
@@ -133,6 +136,7 @@
             serial,
             protocol: Frontend::default(),
             open_request: None,
+            waiting_write: None,
             streamed_value: None,
             answered_requests: 0,
             awaits_first_request: true,
--- a/proxy/src/net/clients/held_ids.rs
+++ b/proxy/src/net/clients/held_ids.rs
@@ -9,7 +9,7 @@
 const MAX_HELD_IDS: usize = 16_384;
 
 /// Identifies a request's id by its hash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct IdHash(pub u64);
 
 impl IdHash {
@@ -26,11 +26,13 @@
 }
 
 impl HeldIds {
-    /// Holds an id until the deadline of its request, when nothing of it can begin any more.
-    pub(super) fn hold(&mut self, id: IdHash, until: Micros) {
-        if self.until.len() < MAX_HELD_IDS {
+    /// Holds an id until the deadline of its request, when nothing of it can begin any more. Returns false if there is no space.
+    pub(super) fn hold(&mut self, id: IdHash, until: Micros) -> bool {
+        let has_space = self.until.len() < MAX_HELD_IDS;
+        if has_space {
             self.until.insert(id, until);
         }
+        has_space
     }
 
     /// Returns whether an id is held at this time.
--- a/proxy/src/net/clients/mod.rs
+++ b/proxy/src/net/clients/mod.rs
@@ -8,6 +8,7 @@
 mod closing;
 mod delivery;
 mod expiry;
+mod grants;
 mod held_ids;
 mod memory;
 mod shed;
@@ -21,11 +22,13 @@
 use super::event_loop_context::EventLoopContext;
 use super::registration;
 use super::sources::Source;
+use super::statement_payload::StatementPayload;
 use crate::core::{AttemptId, ClientKey};
 use crate::memory::{HeldBytes, MemoryBudget};
 use birchreach::Micros;
 use client::{Client, ClientSerial};
 use close_reason::ClientCloseReason;
+pub(super) use grants::WriteAdmission;
 pub(super) use held_ids::IdHash;
 use mio::net::TcpListener;
 use mio::{Interest, Registry};
@@ -206,9 +209,10 @@
         }
     }
 
-    /// Starts no request with this id until the time. A request with it may run at another process.
-    pub(super) fn hold_id(&mut self, id: IdHash, until: Micros) {
-        self.admission.hold(id, until);
+    /// Starts no request with this id until the time. A request with it may run at another process. Returns false if there is no
+    /// space for the id.
+    pub(super) fn hold_id(&mut self, id: IdHash, until: Micros) -> bool {
+        self.admission.hold(id, until)
     }
 
     /// Returns the ids of requests that may run here, and until when at most.
@@ -231,6 +235,9 @@
         } else {
             info!(conn = "client", %peer, answered, reason = word);
         }
+        if let Some(waiting) = client.waiting_write {
+            self.admission.release(waiting.statement());
+        }
         if let Some(open) = client.open_request {
             let may_run_until = context.core.client_disconnected(context.now, open.id);
             self.admission.release_after(&open.statement, may_run_until);
--- a/proxy/src/net/clients/statement_admission.rs
+++ b/proxy/src/net/clients/statement_admission.rs
@@ -1,11 +1,12 @@
 //! Decides whether a client's statement becomes a request or is rejected with an error.
 
 use super::super::event_loop_context::EventLoopContext;
+use super::grants::WriteAdmission;
 use super::held_ids::{HeldIds, IdHash};
-use crate::core::RoutingRequest;
+use crate::core::{ClientKey, RoutingRequest};
 use crate::pg::statement::{Statement, StatementError};
 use birchreach::Micros;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 /// The ids of all clients' open requests. A statement with an id that is in use is rejected.
 #[derive(Default)]
@@ -13,6 +14,12 @@
     open_request_ids: HashSet<Box<[u8]>>,
     /// Ids of writes that may still run without a client, or at another process.
     held_ids: HeldIds,
+    /// Whether writes may begin here.
+    pub write_admission: WriteAdmission,
+    /// The clients whose writes wait until another process has granted that they begin, by the id.
+    waiting: HashMap<IdHash, ClientKey>,
+    /// Those of the waiting writes for which the other process has still to be asked, and until when they may begin.
+    to_ask_for: Vec<(IdHash, Micros)>,
 }
 
 impl StatementAdmission {
@@ -48,9 +55,9 @@
         self.release(statement);
     }
 
-    /// Keeps the id of a request in use that may run at another process until this time.
-    pub(super) fn hold(&mut self, id: IdHash, until: Micros) {
-        self.held_ids.hold(id, until);
+    /// Keeps the id of a request in use that may run at another process until this time. Returns false if there is no space.
+    pub(super) fn hold(&mut self, id: IdHash, until: Micros) -> bool {
+        self.held_ids.hold(id, until)
     }
 
     /// Frees the ids whose time has passed.
@@ -64,8 +71,47 @@
         open.chain(self.held_ids.iter()).collect()
     }
 
+    /// Returns whether a request with this id may run or begin here.
+    pub(super) fn is_in_use(&self, id: IdHash, now: Micros) -> bool {
+        self.held_ids.contains(id, now) || self.open_request_ids.iter().any(|open| IdHash::of(open) == id)
+    }
+
+    /// Makes the write of a client wait until another process has granted that it begins.
+    pub(super) fn ask_for_grant(&mut self, id: IdHash, client: ClientKey, until: Micros) {
+        self.waiting.insert(id, client);
+        self.to_ask_for.push((id, until));
+    }
+
+    /// Removes and returns a write for which another process has to be asked.
+    pub(super) fn next_write_to_ask_for(&mut self) -> Option<(IdHash, Micros)> {
+        self.to_ask_for.pop()
+    }
+
+    /// Returns the client whose write with this id waits.
+    pub(super) fn waiting(&self, id: IdHash) -> Option<ClientKey> {
+        self.waiting.get(&id).copied()
+    }
+
+    /// Returns the ids of the writes that wait.
+    pub(super) fn waiting_ids(&self) -> Vec<IdHash> {
+        self.waiting.keys().copied().collect()
+    }
+
+    /// Returns whether a request with this id may run without a client, or at another process.
+    pub(super) fn is_held(&self, id: IdHash, now: Micros) -> bool {
+        self.held_ids.contains(id, now)
+    }
+
+    /// Returns the client whose write with this id waits. The write does not wait any more.
+    pub(super) fn take_waiting(&mut self, id: IdHash) -> Option<ClientKey> {
+        self.waiting.remove(&id)
+    }
+
     /// Frees the statement's id after its request has ended.
     pub(super) fn release(&mut self, statement: &Statement) {
         self.open_request_ids.remove(statement.id());
+        if !self.waiting.is_empty() {
+            self.waiting.remove(&IdHash::of(statement.id()));
+        }
     }
 }
--- a/proxy/src/net/clients/turn.rs
+++ b/proxy/src/net/clients/turn.rs
@@ -2,10 +2,9 @@
 //! and writes its output.
 
 use super::super::event_loop_context::EventLoopContext;
-use super::super::statement_payload::StatementPayload;
 use super::super::stream::{self, StreamEnd};
 use super::Clients;
-use super::client::{Client, CloseMode, OpenRequest};
+use super::client::{Client, CloseMode};
 use super::close_reason::ClientCloseReason;
 use super::statement_admission::StatementAdmission;
 use crate::core::ClientKey;
@@ -207,7 +206,11 @@
         admission: &mut StatementAdmission,
         key: ClientKey,
     ) {
-        while self.open_request.is_none() && self.closing.is_none() && !self.commands_held {
+        while self.open_request.is_none()
+            && self.waiting_write.is_none()
+            && self.closing.is_none()
+            && !self.commands_held
+        {
             let Some(command) = self.protocol.next_command(context.now) else { return };
             match command {
                 ClientCommand::Close(reason) => self.mark_for_close(reason.into(), CloseMode::Immediate),
@@ -232,11 +235,7 @@
     ) {
         match admission.admit(context, &statement, arrived_at) {
             Err(error) => self.protocol.reject(error.sqlstate(), &error.to_string()),
-            Ok(request) => {
-                let statement = StatementPayload::new(statement);
-                let id = context.core.request(context.request_time(), key, request, statement.clone());
-                self.open_request = Some(OpenRequest { id, statement });
-            }
+            Ok(request) => self.begin_or_ask(context, admission, key, statement, request),
         }
     }
 }
--- a/proxy/src/net/commands.rs
+++ b/proxy/src/net/commands.rs
@@ -2,6 +2,7 @@
 
 use super::EventLoop;
 use super::clients::IdHash;
+use super::process_handover::GrantDecision;
 use super::statement_payload::StatementPayload;
 use super::timer_events::TimerEvent;
 use crate::core::{Command, LogRecord};
@@ -18,6 +19,10 @@
             } else if let Some(attempt) = self.clients.next_attempt_to_resume() {
                 // The client has taken all bytes of a streamed value that were received, so the attempt reads more.
                 self.pool.resume_reading(&mut self.context, attempt);
+            } else if let Some(write) = self.clients.next_write_to_ask_for() {
+                if !self.handover.ask_for_grant(&self.context, write) {
+                    self.clients.grant_decided(&mut self.context, write.0, GrantDecision::Unknown);
+                }
             } else {
                 return;
             }
--- a/proxy/src/net/mod.rs
+++ b/proxy/src/net/mod.rs
@@ -21,6 +21,7 @@
 mod process_handover;
 mod registration;
 mod reload;
+mod request_exchange;
 mod run_once;
 mod sources;
 mod start;
--- a/proxy/src/net/process_handover/link.rs
+++ b/proxy/src/net/process_handover/link.rs
@@ -46,10 +46,14 @@
     pub(super) writes_recorded_until: Micros,
     /// Whether the other process has announced until when its writes are reported.
     has_announced: bool,
+    /// Whether the other process understands grants of requests.
+    pub(super) grants_requests: bool,
     /// Whether the other process was told that this one understands request ids.
     offered_request_ids: bool,
     /// Whether the other process understands request ids.
     pub(super) shares_request_ids: bool,
+    /// The ids of the requests that were open at the other process when it was asked for them have arrived.
+    pub(super) request_ids_received: bool,
     /// Whether the other process has still to be told of the requests that are open.
     pub(super) asked_for_request_ids: bool,
     /// Received messages about session writes, which the owner applies.
@@ -61,6 +65,8 @@
     pub(super) fn connect(registry: &Registry, path: &Path) -> std::io::Result<ProcessLink> {
         let stream = UnixStream::connect(path)?;
         let mut link = ProcessLink::register(registry, stream, Source::Predecessor)?;
+        // The answer to this message comes ahead of the first announcement.
+        link.protocol.send(HandoverMessage::GrantsRequests);
         link.protocol.send(HandoverMessage::SharesSessionWrites);
         Ok(link)
     }
@@ -82,8 +88,10 @@
             reports: SessionWriteReports::default(),
             writes_recorded_until: NO_WRITES_RECORDED,
             has_announced: false,
+            grants_requests: false,
             offered_request_ids: false,
             shares_request_ids: false,
+            request_ids_received: false,
             asked_for_request_ids: false,
             session_messages: Vec::new(),
         })
@@ -107,14 +115,26 @@
     /// Tells the other process that this one understands request ids, once it has announced session writes. Earlier versions that
     /// announce them take the message for another one, which they do not use.
     pub(super) fn offer_request_ids(&mut self) {
-        if self.has_announced && !std::mem::replace(&mut self.offered_request_ids, true) {
+        if self.has_announced {
+            self.send_request_ids_offer();
+        }
+    }
+
+    /// Tells the other process once that this one understands request ids.
+    pub(super) fn send_request_ids_offer(&mut self) {
+        if !std::mem::replace(&mut self.offered_request_ids, true) {
             self.protocol.send(HandoverMessage::SharesRequestIds);
         }
     }
 
+    /// Whether the output has space for messages about requests.
+    pub(super) fn has_space(&self) -> bool {
+        self.protocol.outbox.pending().len() < MAX_BUFFERED_IDS_BYTES
+    }
+
     /// Tells the other process of a request that begins, if it understands that and the output is not full.
     pub(super) fn send_request_id(&mut self, id: IdHash, until: i64) {
-        if self.shares_request_ids && self.protocol.outbox.pending().len() < MAX_BUFFERED_IDS_BYTES {
+        if self.shares_request_ids && self.has_space() {
             self.protocol.send(HandoverMessage::RequestBegun { id: id.0, until });
         }
     }
@@ -144,6 +164,8 @@
     /// Records an announcement of the other process. Returns whether it is the first one.
     pub(super) fn record_announcement(&mut self, recorded_until: Micros) -> bool {
         self.writes_recorded_until = recorded_until;
+        // The ids follow the other process's answer at once, and so come ahead of its next announcement.
+        self.request_ids_received |= self.shares_request_ids;
         !std::mem::replace(&mut self.has_announced, true)
     }
 
--- a/proxy/src/net/process_handover/mod.rs
+++ b/proxy/src/net/process_handover/mod.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 mod confirmed_roles;
+mod grants;
 mod link;
 mod request_ids;
 mod session_writes;
@@ -12,6 +13,7 @@
 use crate::hash::fnv1a;
 use crate::startup_retry::StartupRetry;
 use birchreach::Micros;
+pub(super) use grants::GrantDecision;
 use link::{LinkProgress, ProcessLink};
 use mio::Registry;
 use mio::net::UnixListener;
@@ -56,6 +58,7 @@
     announcement_timer_set: bool,
     /// Requests that other processes have begun, which the clients' owner has still to be told of.
     remote_requests: Vec<request_ids::RemoteRequest>,
+    grants: grants::Grants,
     /// The longest time that a client may wait for a response.
     longest_client_timeout: Micros,
 }
@@ -202,6 +205,9 @@
         };
         let Some(mut link) = removed else { return };
         let _ = context.poll.registry().deregister(&mut link.stream);
+        if peer == Peer::Predecessor {
+            self.predecessor_ended(&link, context.now);
+        }
         self.record_lost_process(peer, &link, context);
     }
 }
--- a/proxy/src/net/process_handover/session_writes.rs
+++ b/proxy/src/net/process_handover/session_writes.rs
@@ -10,7 +10,7 @@
 use super::super::graceful_shutdown;
 use super::super::timer_events::TimerEvent;
 use super::link::ProcessLink;
-use super::{Peer, ProcessHandover};
+use super::{GrantDecision, Peer, ProcessHandover};
 use crate::handover_protocol::HandoverMessage;
 use birchreach::{Micros, SessionId};
 use tracing::{info, warn};
@@ -116,6 +116,10 @@
             }
             HandoverMessage::RoleConfirmed(role) => self.apply_role(peer, role, context),
             HandoverMessage::SharesRequestIds => self.start_sharing_request_ids(peer),
+            HandoverMessage::GrantsRequests => self.start_granting(peer),
+            HandoverMessage::MayBegin { id, until } => self.record_ask(IdHash(id), until, context),
+            HandoverMessage::RequestGranted(id) => self.record_decision(IdHash(id), GrantDecision::Granted),
+            HandoverMessage::RequestTaken(id) => self.record_decision(IdHash(id), GrantDecision::Taken),
             HandoverMessage::RequestBegun { id, until } => {
                 self.record_remote_request(peer, IdHash(id), until, context);
             }
--- a/proxy/src/net/run_once.rs
+++ b/proxy/src/net/run_once.rs
@@ -191,18 +191,6 @@
         self.negotiate_handover();
     }
 
-    /// Exchanges the ids of requests that may run with the other processes.
-    fn share_request_ids(&mut self) {
-        for (id, until) in self.handover.take_remote_requests() {
-            self.clients.hold_id(id, until);
-        }
-        if self.handover.take_asked_for_request_ids() {
-            for (id, until) in self.clients.ids_in_use(self.context.now, self.longest_client_timeout) {
-                self.handover.share_request(&self.context, id, until);
-            }
-        }
-    }
-
     /// Receives the datagrams of the fleet and applies the changes of membership.
     fn handle_fleet(&mut self) {
         if let Some(fleet) = &mut self.fleet {
--- a/proxy/src/net/start.rs
+++ b/proxy/src/net/start.rs
@@ -167,6 +167,7 @@
         }
         self.apply_process_count();
         self.handover.announce_session_writes(&mut self.context);
+        self.clients.set_write_admission(self.handover.write_admission(started_at));
         if self.handover.awaits_predecessor() {
             self.clients.set_awaiting_predecessor(true);
             self.context.timers.set(started_at + PREDECESSOR_WAIT_MICROS, TimerEvent::PredecessorWaitEnded);
--- a/proxy/src/net/timer_dispatch.rs
+++ b/proxy/src/net/timer_dispatch.rs
@@ -17,6 +17,7 @@
             TimerEvent::QueryTimeout(key, serial) => self.pool.query_timed_out(context, key, serial),
             TimerEvent::CooldownEnded(key, serial) => self.pool.cooldown_ended(context, key, serial),
             TimerEvent::RetryAccept => self.clients.resume_accepting(),
+            TimerEvent::GrantTimeout(id) => self.clients.grant_timed_out(context, id),
             TimerEvent::CheckDeliveries => self.clients.check_deliveries(context),
             TimerEvent::Discovery(state_serial) => self.discovery.timed_out(context, state_serial),
             TimerEvent::PeriodicTasks => self.run_periodic_tasks(),
@@ -88,6 +89,7 @@
             gossip.set_load(pressure);
             self.apply_gossip_progress();
         }
+        self.clients.set_write_admission(self.handover.write_admission(self.context.now));
         self.reopen_check_listeners();
         if self.handover.has_failed_accept() {
             self.handle_handover(Source::HandoverListener);
--- a/proxy/src/net/timer_events.rs
+++ b/proxy/src/net/timer_events.rs
@@ -1,5 +1,6 @@
 //! The events for which the subsystems set timers.
 
+use super::clients::IdHash;
 use super::ids::{
     CheckConnectionKey, CheckConnectionSerial, ConnectionKey, ConnectionSerial, LinkKey, LinkSerial,
     PollStateSerial, QuerySerial,
@@ -24,6 +25,8 @@
     RetryAccept,
     /// Connections to clients that are closed once their output is delivered are checked.
     CheckDeliveries,
+    /// Another process has not answered in time whether the write with this id may begin.
+    GrantTimeout(IdHash),
     /// The next poll of discovery is due, or a state of the current one has timed out.
     Discovery(PollStateSerial),
     /// The periodic tasks are due: connections that have been idle for too long are closed, and the load is reported.
--- a/proxy/tests/handover/main.rs
+++ b/proxy/tests/handover/main.rs
@@ -3,6 +3,7 @@
 //!
 //! The replica of the rig has stopped to apply commits. A session read that it answers misses every write.
 
+mod grants;
 mod rig;
 mod roles;
 
@@ -99,6 +100,7 @@
     rig.stop_processes_at_client_input();
     let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
     let process = rig.process(1);
+    assert_eq!(predecessor.read_line(), "yields 2");
     assert_eq!(predecessor.read_line(), "yields 0");
     predecessor.send_current();
     assert_eq!(predecessor.read_line(), "serving");
@@ -128,6 +130,7 @@
     rig.assert_write_is_seen(&mut rig.connect(), "unreported");
     // And it receives only messages that it knows, also after a write
     rig.write(&mut rig.connect(), "own");
+    assert_eq!(predecessor.read_line(), "yields 2");
     assert_eq!(predecessor.read_line(), "yields 0");
     assert_eq!(predecessor.read_line(), "serving");
     rig.process(1).signal("TERM");
--- a/proxy/tests/handover/rig.rs
+++ b/proxy/tests/handover/rig.rs
@@ -98,7 +98,8 @@
         self.folder.join("tmp").join(format!("birchreach-{:016x}.sock", fnv1a(address.as_bytes())))
     }
 
-    fn address(&self) -> SocketAddr {
+    /// The address that all processes of the proxy share.
+    pub(crate) fn address(&self) -> SocketAddr {
         self.listener.local_addr().unwrap()
     }
 
@@ -153,6 +154,17 @@
         self.write(&mut client, session);
     }
 
+    /// Makes the primary take this long for each write.
+    pub(crate) fn delay_writes(&self, delay: Duration) {
+        self.rig.groups[0].primary.set_delay("entry", delay);
+    }
+
+    /// Number of writes that ran, and of those that ran more than once.
+    pub(crate) fn write_counts(&self) -> (usize, usize) {
+        let rows = &self.rig.groups[0].rows;
+        (rows.write_count(), rows.duplicate_count())
+    }
+
     /// Makes the replica the primary, without a change of the endpoint list. The former primary applies no further commits.
     pub(crate) fn fail_over(&self) {
         self.rig.fail_over(0, false);
