--- a/proxy/tests/handover/grants.rs
+++ b/proxy/tests/handover/grants.rs
@@ -12,6 +12,19 @@
 const AFTER_START: Duration = Duration::from_millis(400);
 const BETWEEN_REPEATS: Duration = Duration::from_micros(300);
 
+impl HandoverRig {
+    /// Makes the primary take this long for each write.
+    fn delay_writes(&self, delay: Duration) {
+        self.rig.groups[0].primary.set_delay("entry", delay);
+    }
+
+    /// Number of writes that ran, and of those that ran more than once.
+    fn write_counts(&self) -> (usize, usize) {
+        let rows = &self.rig.groups[0].rows;
+        (rows.write_count(), rows.duplicate_count())
+    }
+}
+
 fn write(id: u32) -> String {
     format!(
         "INSERT INTO rows (handle, blob) VALUES ('k', '\\x02') RETURNING blob /* id={id:016x},c=entry,d=20000,cluster=0 */"
--- a/proxy/tests/handover/rig.rs
+++ b/proxy/tests/handover/rig.rs
@@ -47,7 +47,7 @@
 
 /// A primary, a replica that has stopped to apply commits, and the processes of a proxy that share a listener.
 pub(crate) struct HandoverRig {
-    rig: Rig,
+    pub(crate) rig: Rig,
     folder: PathBuf,
     listener: TcpListener,
     processes: RefCell<HashMap<u64, Rc<Process>>>,
@@ -154,17 +154,6 @@
         self.write(&mut client, session);
     }
 
-    /// Makes the primary take this long for each write.
-    pub(crate) fn delay_writes(&self, delay: Duration) {
-        self.rig.groups[0].primary.set_delay("entry", delay);
-    }
-
-    /// Number of writes that ran, and of those that ran more than once.
-    pub(crate) fn write_counts(&self) -> (usize, usize) {
-        let rows = &self.rig.groups[0].rows;
-        (rows.write_count(), rows.duplicate_count())
-    }
-
     /// Makes the replica the primary, without a change of the endpoint list. The former primary applies no further commits.
     pub(crate) fn fail_over(&self) {
         self.rig.fail_over(0, false);
