Database connections: a second copy is recognized by its content, without a longer rest

What callers saw: with a plain request to a database in another data center took a rest of two round trips more (2.5 ms one way, 5 ms of work: median 17.6 ms instead of 10.5, back to back 21.6 instead of 11.5), and a copy in the last eighth of the round trip was still taken for an answer. Cause: the rest after a reply was the main safeguard (RoundTrips::cooldown). Change: a reply is compared with the one before it on the connection (outcome, value, role, position); if equal, and within one and a half round trips of a statement that follows that reply, it is its copy. The rest is 1 ms again, and longer only where a copy could not be recognized. All replies are measured, since copies are known. Two of the three tests in distant_databases.rs fail without the comparison.

--- a/proxy/src/net/pool/connection.rs
+++ b/proxy/src/net/pool/connection.rs
@@ -2,6 +2,7 @@
 
 use super::super::ids::{ConnectionSerial, QuerySerial};
 use super::super::statement_payload::StatementPayload;
+use super::reply_identity::ReplyIdentity;
 use crate::background_query::BackgroundQuery;
 use crate::core::AttemptId;
 use crate::pg::backend::Backend;
@@ -69,8 +70,16 @@
     pub idle_since: Micros,
     /// When the last byte of the startup message or of the latest query was written. Meaningful once it was.
     pub written_at: Micros,
-    /// Bytes have arrived since the startup message or the latest query was sent.
-    pub reply_started: bool,
+    /// The time from `written_at` to the first bytes that arrived after it. `None` until then.
+    pub reply_delay: Option<Micros>,
+    /// `reply_delay` was measured while the process was not busy.
+    pub is_delay_measured: bool,
+    /// At least a part of the reply to the latest query was streamed.
+    pub reply_was_streamed: bool,
+    /// The last complete reply.
+    pub last_reply: Option<ReplyIdentity>,
+    /// A second copy of the last reply could not be told from another one.
+    pub must_settle: bool,
     /// The latest query was sent before the connection had settled, so that bytes of the reply before it may still arrive.
     pub follows_recent_reply: bool,
     /// The connection has completed a query.
@@ -103,7 +112,11 @@
             query: QueryProgress::NotQueued,
             idle_since: now,
             written_at: now,
-            reply_started: false,
+            reply_delay: None,
+            is_delay_measured: false,
+            reply_was_streamed: false,
+            last_reply: None,
+            must_settle: false,
             follows_recent_reply: false,
             has_completed_query: false,
             last_progress_at: now,
@@ -114,7 +127,9 @@
     /// Records that a query is in the output.
     pub(super) fn query_queued(&mut self, now: Micros, settling_time: Micros) {
         self.query = QueryProgress::Queued;
-        self.reply_started = false;
+        self.reply_delay = None;
+        self.is_delay_measured = false;
+        self.reply_was_streamed = false;
         self.follows_recent_reply = self.has_completed_query && now - self.idle_since < settling_time;
     }
 
--- a/proxy/src/net/pool/dispatch.rs
+++ b/proxy/src/net/pool/dispatch.rs
@@ -1,5 +1,5 @@
-//! Assigns tasks to connections. In order of preference, a task gets an idle connection that has settled, the idle connection that
-//! has rested longest, once its cooldown is over, or a new connection.
+//! Assigns tasks to connections. In order of preference, a task gets an idle connection that has settled, the idle connection whose
+//! rest ends first, once it has ended, or a new connection.
 
 use super::super::event_loop_context::EventLoopContext;
 use super::super::ids::{ConnectionKey, ConnectionSerial};
@@ -42,24 +42,28 @@
         }
     }
 
-    /// Takes the most recently used idle connection that has settled, or else the one that has rested longest.
+    /// Takes the most recently used idle connection that has settled, or else the one whose rest ends first.
     fn take_idle(&mut self, context: &EventLoopContext, server: ServerId) -> Option<IdleConnection> {
-        let settling_time = self.round_trips.settling_time(server);
-        let cooldown = self.cooldown(context, server);
-        let keys = self.idle.get_mut(&server).filter(|keys| !keys.is_empty())?;
-        let rest = |key: ConnectionKey| context.now - self.connections[key].idle_since;
-        let settled = keys.iter().rposition(|key| rest(*key) >= settling_time);
-        let key = keys.remove(settled.unwrap_or(0));
-        Some(if rest(key) >= cooldown {
+        let settled_since = context.now - self.round_trips.settling_time(server);
+        let keys = self.idle.get(&server)?;
+        let settled = keys.iter().rposition(|key| self.connections[*key].idle_since <= settled_since);
+        let index = match settled {
+            Some(index) => index,
+            None => (0..keys.len()).min_by_key(|index| self.rest_ends_at(context, keys[*index]))?,
+        };
+        let ends_at = self.rest_ends_at(context, keys[index]);
+        let key = self.idle.get_mut(&server)?.remove(index);
+        Some(if ends_at <= context.now {
             IdleConnection::Ready(key)
         } else {
             IdleConnection::CoolingDown(key)
         })
     }
 
-    /// Returns how long a connection to the server rests after a reply: no longer than it may take to open another one.
-    fn cooldown(&self, context: &EventLoopContext, server: ServerId) -> Micros {
-        self.round_trips.cooldown(server, context.now).min(self.connect_timeout)
+    /// Returns when a connection has rested after its last reply: no later than another one might take to open.
+    fn rest_ends_at(&self, context: &EventLoopContext, key: ConnectionKey) -> Micros {
+        let connection = &self.connections[key];
+        connection.idle_since + self.round_trips.rest(connection, context.now).min(self.connect_timeout)
     }
 
     /// Assigns a task whose query is sent once the connection's cooldown is over.
@@ -69,9 +73,9 @@
         key: ConnectionKey,
         task: ConnectionTask,
     ) {
-        let connection = &self.connections[key];
-        let cooldown_ends_at = connection.idle_since + self.cooldown(context, connection.server);
-        context.timers.set(cooldown_ends_at, TimerEvent::CooldownEnded(key, connection.serial));
+        let rest_ends_at = self.rest_ends_at(context, key);
+        let serial = self.connections[key].serial;
+        context.timers.set(rest_ends_at, TimerEvent::CooldownEnded(key, serial));
         self.assign(key, task);
     }
 
--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -10,6 +10,7 @@
 mod expiry;
 mod opening;
 mod query;
+mod reply_identity;
 mod responses;
 mod round_trip;
 mod socket_io;
--- a/proxy/src/net/pool/responses.rs
+++ b/proxy/src/net/pool/responses.rs
@@ -5,6 +5,7 @@
 use super::Pool;
 use super::close_reason::DatabaseCloseReason;
 use super::connection::ConnectionState;
+use super::reply_identity::ReplyIdentity;
 use crate::pg::backend::BackendEvent;
 use crate::reply::Reply;
 use birchreach::AttemptOutcome;
@@ -79,6 +80,7 @@
     ) -> ConnectionState {
         let connection = &mut self.connections[key];
         connection.last_progress_at = context.now;
+        connection.reply_was_streamed = true;
         // Only the statements of attempts are answered with streamed values.
         let Some(attempt) = connection.attempt() else { return ConnectionState::Closed };
         if context.core.response_started(context.now, attempt, length) {
@@ -113,7 +115,14 @@
         key: ConnectionKey,
         reply: Reply,
     ) -> ConnectionState {
-        let Some(task) = self.connections[key].task.take() else {
+        let connection = &mut self.connections[key];
+        if self.round_trips.reply_completed(connection, ReplyIdentity::of(&reply)) {
+            // The query may run, and its reply follows.
+            let reply = Reply::with_outcome(AttemptOutcome::Error);
+            self.fail_connection(context, key, DatabaseCloseReason::UnexpectedData, reply);
+            return ConnectionState::Closed;
+        }
+        let Some(task) = connection.task.take() else {
             self.return_to_idle(context, key);
             return self.connection_state(key);
         };
--- a/proxy/src/net/pool/round_trip.rs
+++ b/proxy/src/net/pool/round_trip.rs
@@ -1,21 +1,22 @@
 //! The round-trip times to databases, and what follows from them for bytes that arrive around a query.
 //!
-//! A database may send bytes beyond a reply, such as a second copy of it, until the next query reaches it. Two rules keep them apart
-//! from the reply to that query:
-//! - A connection rests after a reply. Unexpected bytes that arrive meanwhile show that the connection cannot be used any more.
+//! A database may send bytes beyond a reply, such as a second copy of it, until the next query reaches it. They arrive up to one round
+//! trip after that query was sent. Three rules keep them apart from the reply to the query:
+//! - A connection rests after a reply. Unexpected bytes that arrive meanwhile show that the connection cannot be used any more. It rests
+//!   longer if the database has sent such bytes before, if its round trip is not known yet, or if a second copy of the reply could not be
+//!   recognized.
 //! - No reply arrives sooner after its query than the round trip takes. Bytes that do were sent before the database had the query.
+//! - A reply that equals the one before it, and arrives no later than bytes that were sent before the query, is a second copy.
 
 use super::super::event_loop_context::EventLoopContext;
 use super::connection::{Connection, QueryProgress};
+use super::reply_identity::ReplyIdentity;
 use birchreach::{Micros, ServerId};
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 
-/// The shortest time for which a connection rests after a reply.
-const MIN_COOLDOWN_MICROS: Micros = 1_000;
-/// A connection rests for this many round trips after a reply, which is what it takes to open another one: one for the TCP connect
-/// and one for the startup.
-const COOLDOWN_ROUND_TRIPS: Micros = 2;
+/// How long a connection rests after a reply.
+const COOLDOWN_MICROS: Micros = 1_000;
 /// A connection that has rested for this many round trips is as good as a new one.
 const SETTLED_ROUND_TRIPS: Micros = 8;
 /// Unexpected bytes within this time after a reply are taken for a remainder of it. Later ones may announce the end of the connection.
@@ -27,9 +28,12 @@
 const ERROR_DIVISOR: Micros = 8;
 /// The least time by which a round trip may be measured as too long.
 const MIN_ERROR_MICROS: Micros = 250;
-/// The shortest round trip, and the database, are trusted after this many measurements. Until then connections rest until they have
-/// settled, so that a database that sends unexpected bytes is recognized.
-const MIN_MEASUREMENTS: u32 = 16;
+/// Bytes that were sent before the query arrive at most this part of the shortest round trip after it: single round trips are longer.
+const JITTER_DIVISOR: Micros = 2;
+/// After this many measurements one of them is taken to be close to the round trip. Until then connections rest until they have settled.
+const MIN_MEASUREMENTS: u32 = 4;
+/// After this many measurements the round trip is taken to be not much shorter than the shortest of them.
+const MIN_MEASUREMENTS_OF_SHORTEST: u32 = 16;
 /// The number of measurements after which those before the previous ones are forgotten, since a path may become longer.
 const WINDOW_MEASUREMENTS: u32 = 256;
 
@@ -71,8 +75,8 @@
         self.previous_shortest.map_or(self.shortest, |previous| previous.min(self.shortest))
     }
 
-    fn are_sufficient(&self) -> bool {
-        self.previous_shortest.is_some() || self.count >= MIN_MEASUREMENTS
+    fn has_at_least(&self, count: u32) -> bool {
+        self.previous_shortest.is_some() || self.count >= count
     }
 }
 
@@ -84,7 +88,7 @@
 
 impl RoundTrips {
     /// Records the time from the last byte of a startup message or query to the first bytes that came back.
-    pub(super) fn record(&mut self, server: ServerId, address: SocketAddr, round_trip: Micros) {
+    fn record(&mut self, server: ServerId, address: SocketAddr, round_trip: Micros) {
         let round_trip = round_trip.max(0);
         match self.by_server.get_mut(&server).filter(|known| known.address == address) {
             Some(measurements) => measurements.record(round_trip),
@@ -99,16 +103,16 @@
         self.by_server.remove(&server);
     }
 
-    fn shortest(&self, server: ServerId) -> Micros {
-        self.by_server.get(&server).map_or(0, Measurements::shortest)
-    }
-
-    /// Returns how long a connection to the server rests after a reply.
-    pub(super) fn cooldown(&self, server: ServerId, now: Micros) -> Micros {
-        let is_trusted = |known: &Measurements| known.are_sufficient() && now >= known.rests_longer_until;
-        let trusted = self.by_server.get(&server).is_some_and(is_trusted);
-        let round_trips = if trusted { COOLDOWN_ROUND_TRIPS } else { SETTLED_ROUND_TRIPS };
-        (self.shortest(server) * round_trips).max(MIN_COOLDOWN_MICROS)
+    /// Returns how long the connection rests after its last reply.
+    pub(super) fn rest(&self, connection: &Connection, now: Micros) -> Micros {
+        let is_trusted =
+            |known: &Measurements| known.has_at_least(MIN_MEASUREMENTS) && now >= known.rests_longer_until;
+        let server_is_trusted = self.by_server.get(&connection.server).is_some_and(is_trusted);
+        if server_is_trusted && !connection.must_settle {
+            COOLDOWN_MICROS
+        } else {
+            self.settling_time(connection.server)
+        }
     }
 
     /// Records that a connection brought bytes that belong to no query.
@@ -123,41 +127,67 @@
 
     /// Returns the rest after which nothing is expected any more that belongs to the last reply.
     pub(super) fn settling_time(&self, server: ServerId) -> Micros {
-        (self.shortest(server) * SETTLED_ROUND_TRIPS).max(MIN_COOLDOWN_MICROS)
+        let shortest = self.by_server.get(&server).map_or(0, Measurements::shortest);
+        (shortest * SETTLED_ROUND_TRIPS).max(COOLDOWN_MICROS)
+    }
+
+    /// Returns the shortest round trip to a server if it was measured at least so often.
+    fn shortest_of(&self, server: ServerId, count: u32) -> Option<Micros> {
+        let known = self.by_server.get(&server).filter(|known| known.has_at_least(count))?;
+        Some(known.shortest())
     }
 
     /// Returns the time after a query within which no byte of its reply can arrive.
-    pub(super) fn earliest_reply(&self, server: ServerId) -> Micros {
-        match self.by_server.get(&server).filter(|measurements| measurements.are_sufficient()) {
-            Some(measurements) => {
-                let shortest = measurements.shortest();
-                shortest - (shortest / ERROR_DIVISOR).max(MIN_ERROR_MICROS)
-            }
-            None => 0,
-        }
+    fn earliest_reply(&self, server: ServerId) -> Micros {
+        let shortest = self.shortest_of(server, MIN_MEASUREMENTS_OF_SHORTEST).unwrap_or_default();
+        shortest - (shortest / ERROR_DIVISOR).max(MIN_ERROR_MICROS)
+    }
+
+    /// Returns the time after a query within which bytes that were sent before it may arrive. Zero if the cooldown is longer than the
+    /// round trip: what is sent that soon after a reply arrives before the next query is sent.
+    fn latest_remainder(&self, server: ServerId) -> Micros {
+        let is_distant = |round_trip: &Micros| *round_trip > COOLDOWN_MICROS;
+        let distant = self.shortest_of(server, MIN_MEASUREMENTS).filter(is_distant);
+        distant.map_or(0, |shortest| shortest + shortest / JITTER_DIVISOR)
     }
 
     /// Handles the first bytes on a connection after its startup message or query. Returns whether they cannot belong to the reply.
     pub(super) fn reply_started(&mut self, context: &EventLoopContext, connection: &mut Connection) -> bool {
-        if connection.reply_started
+        if connection.reply_delay.is_some()
             || (connection.established && connection.query == QueryProgress::NotQueued)
         {
             return false;
         }
-        connection.reply_started = true;
+        // The query may have been written in the same turn of the event loop.
+        let delay = context.clock.now() - connection.written_at;
+        connection.reply_delay = Some(delay);
         if connection.query == QueryProgress::Queued {
             // The database does not have the query yet.
             return true;
         }
-        // The query may have been written in the same turn of the event loop.
-        let elapsed = context.clock.now() - connection.written_at;
-        if connection.follows_recent_reply && elapsed < self.earliest_reply(connection.server) {
+        if connection.follows_recent_reply && delay < self.earliest_reply(connection.server) {
             return true;
         }
         // If the process was busy, the bytes may have arrived long before.
-        if context.waited_for_events && !connection.follows_recent_reply {
-            self.record(connection.server, connection.address, elapsed);
+        connection.is_delay_measured = context.waited_for_events;
+        if connection.is_delay_measured && !connection.established {
+            self.record(connection.server, connection.address, delay);
+        }
+        false
+    }
+
+    /// Handles the complete reply to a query. Returns whether it is a second copy of the reply before it.
+    pub(super) fn reply_completed(&mut self, connection: &mut Connection, identity: ReplyIdentity) -> bool {
+        let delay = connection.reply_delay.unwrap_or_default();
+        let may_be_copy = connection.follows_recent_reply && delay < self.latest_remainder(connection.server);
+        if may_be_copy && connection.last_reply.as_ref() == Some(&identity) {
+            return true;
+        }
+        if connection.is_delay_measured {
+            self.record(connection.server, connection.address, delay);
         }
+        connection.must_settle = connection.reply_was_streamed || !identity.is_distinctive();
+        connection.last_reply = Some(identity);
         false
     }
 }
--- a/proxy/tests/distant_databases.rs
+++ b/proxy/tests/distant_databases.rs
@@ -28,20 +28,31 @@
     }
 }
 
-/// Serves writes by databases that are this far away and send each answer a second time after the delay. Checks each answer, and that
-/// no write ran twice.
-fn check_second_copies(name: &str, loopback_address: [u8; 4], one_way: Duration, delay: Duration) {
+/// Databases that send each answer a second time.
+struct SecondCopies {
+    one_way: Duration,
+    /// The time from an answer to its copy.
+    delay: Duration,
+    /// Whether the databases send no copies at first.
+    begin_later: bool,
+}
+
+/// Serves writes by these databases. Checks each answer, and that no write ran twice.
+fn check_second_copies(name: &str, loopback_address: [u8; 4], copies: &SecondCopies) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let program = Path::new(env!("CARGO_BIN_EXE_birchreach-proxy"));
     let rig = Rig::new(1, loopback_address, program, &folder).unwrap();
     rig.discovery.change_databases(|databases| {
         for database in databases {
-            database.endpoint = start_distant_relay(database.endpoint, one_way).unwrap();
+            database.endpoint = start_distant_relay(database.endpoint, copies.one_way).unwrap();
         }
     });
     let process = rig.start(1, None, None).unwrap();
     let address = process.client_address().unwrap();
-    rig.groups[0].primary.set_second_copy(Some(delay));
+    if copies.begin_later {
+        write_values(address, CLIENTS);
+    }
+    rig.groups[0].primary.set_second_copy(Some(copies.delay));
     rig.groups[0].primary.set_rejected_interval(Some(REJECTED_INTERVAL));
     thread::scope(|scope| {
         for number in 0..CLIENTS {
@@ -57,21 +68,23 @@
 /// to another client.
 #[test]
 fn a_second_copy_that_arrives_behind_the_next_statement_is_not_its_answer() {
-    check_second_copies(
-        "copies",
-        [127, 88, 201, 1],
-        Duration::from_micros(1800),
-        Duration::from_micros(1500),
-    );
+    let one_way = Duration::from_micros(1800);
+    let copies = SecondCopies { one_way, delay: Duration::from_micros(1500), begin_later: false };
+    check_second_copies("copies", [127, 88, 201, 1], &copies);
 }
 
-/// The same with a copy that comes later than the rest that follows from the round trip.
+/// The same with a copy that comes some round trips after its answer.
 #[test]
 fn a_late_second_copy_that_arrives_behind_the_next_statement_is_not_its_answer() {
-    check_second_copies(
-        "late_copies",
-        [127, 88, 202, 1],
-        Duration::from_micros(1500),
-        Duration::from_millis(7),
-    );
+    let one_way = Duration::from_micros(1500);
+    let copies = SecondCopies { one_way, delay: Duration::from_millis(7), begin_later: false };
+    check_second_copies("late_copies", [127, 88, 202, 1], &copies);
+}
+
+/// A copy that the database sent right before the next statement reached it came too late to be told by its time alone.
+#[test]
+fn a_first_second_copy_that_arrives_a_round_trip_behind_the_next_statement_is_not_its_answer() {
+    let one_way = Duration::from_millis(2);
+    let copies = SecondCopies { one_way, delay: Duration::from_micros(4900), begin_later: true };
+    check_second_copies("first_copies", [127, 88, 203, 1], &copies);
 }
