Handover: an older process that stands still is not taken for an earlier version

Cause: a predecessor that had said nothing for 1 s counted as one of an earlier version, which is not asked (write_admission). Change: the system tells whether the first message was read. Until it was, and for 0.3 s after, writes are rejected with 53300, also if the process ends meanwhile. A write waits for its grant no longer than its own time. The stand-in of an earlier version reads what it is sent, as such a process does; its test checks the same messages in the same order.

--- a/proxy/src/net/clients/grants.rs
+++ b/proxy/src/net/clients/grants.rs
@@ -1,7 +1,7 @@
 //! Writes that wait until another process of this proxy has granted that they begin here.
 
 use super::super::event_loop_context::EventLoopContext;
-use super::super::process_handover::GrantDecision;
+use super::super::process_handover::{ANSWER_TIMEOUT_MICROS, GrantDecision};
 use super::super::timer_events::TimerEvent;
 use super::client::{Client, OpenRequest};
 use super::held_ids::IdHash;
@@ -12,9 +12,6 @@
 use crate::pg::statement::{Statement, StatementError};
 use birchreach::Micros;
 
-/// How long a write waits for the answer of the other process. By the platform's rules a process may stand still for 0.15 s.
-const GRANT_TIMEOUT_MICROS: Micros = 300_000;
-
 /// Whether writes may begin at this process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum WriteAdmission {
@@ -31,6 +28,8 @@
     statement: Statement,
     request: RoutingRequest,
     asked_at: Micros,
+    /// When the write is rejected if it has not been decided.
+    rejected_at: Micros,
 }
 
 impl WaitingWrite {
@@ -56,10 +55,11 @@
         if admission.write_admission == WriteAdmission::Refuse {
             return self.refuse(admission, &statement);
         }
-        let id = IdHash::of(statement.id());
-        admission.ask_for_grant(id, key, context.now + request.timeout);
-        context.timers.set(context.now + GRANT_TIMEOUT_MICROS, TimerEvent::GrantTimeout(id));
-        self.waiting_write = Some(WaitingWrite { statement, request, asked_at: context.now });
+        let (id, asked_at) = (IdHash::of(statement.id()), context.now);
+        let rejected_at = asked_at + request.timeout.min(ANSWER_TIMEOUT_MICROS);
+        admission.ask_for_grant(id, key, asked_at + request.timeout);
+        context.timers.set(rejected_at, TimerEvent::GrantTimeout(id));
+        self.waiting_write = Some(WaitingWrite { statement, request, asked_at, rejected_at });
     }
 
     fn begin(
@@ -108,7 +108,8 @@
         let Some(key) = self.admission.take_waiting(id) else { return };
         let Some(client) = self.connections.get_mut(key.0) else { return };
         let is_same = |write: &mut WaitingWrite| IdHash::of(write.statement.id()) == id;
-        let Some(WaitingWrite { statement, mut request, asked_at }) = client.waiting_write.take_if(is_same)
+        let Some(WaitingWrite { statement, mut request, asked_at, .. }) =
+            client.waiting_write.take_if(is_same)
         else {
             return;
         };
@@ -142,7 +143,7 @@
         let Some(client) = self.admission.waiting(id).and_then(|key| self.connections.get(key.0)) else {
             return;
         };
-        let is_due = |write: &WaitingWrite| context.now - write.asked_at >= GRANT_TIMEOUT_MICROS;
+        let is_due = |write: &WaitingWrite| context.now >= write.rejected_at;
         if client.waiting_write.as_ref().is_some_and(is_due) {
             self.grant_decided(context, id, GrantDecision::Unknown);
         }
--- a/proxy/src/net/process_handover/grants.rs
+++ b/proxy/src/net/process_handover/grants.rs
@@ -10,6 +10,9 @@
 use birchreach::Micros;
 use std::collections::HashMap;
 
+/// How long a process that has read a message is left to answer it. By the platform's rules a process may stand still for 0.15 s.
+pub(in super::super) const ANSWER_TIMEOUT_MICROS: Micros = 300_000;
+
 /// A write that the newer process wants to begin, and the time after which nothing of it begins.
 pub(in super::super) type WriteToBegin = (IdHash, Micros);
 
@@ -43,12 +46,20 @@
         match &self.predecessor {
             Some(link) if link.grants_requests => WriteAdmission::Ask,
             // A process of an earlier version tells of its ids, if it does so, and is not asked.
-            Some(_) => WriteAdmission::Free,
+            Some(link) if link.had_time_to_answer(now) => WriteAdmission::Free,
+            Some(_) => WriteAdmission::Refuse,
             None if now < self.grants.unknown_until => WriteAdmission::Refuse,
             None => WriteAdmission::Free,
         }
     }
 
+    /// Checks whether the predecessor has read the first messages. One that stands still has not, one of an earlier version has.
+    pub(in super::super) fn check_predecessor(&mut self, now: Micros) {
+        if let Some(link) = self.predecessor.as_mut().filter(|link| !link.grants_requests) {
+            link.check_unread_messages(now);
+        }
+    }
+
     /// Asks the predecessor whether a write may begin. Returns false if it cannot be asked now.
     pub(in super::super) fn ask_for_grant(
         &mut self,
@@ -137,7 +148,8 @@
 
     /// Records that the predecessor has ended. If it has not told which writes it had begun, they may run as long as a client may wait.
     pub(super) fn predecessor_ended(&mut self, link: &ProcessLink, now: Micros) {
-        let is_known = link.is_finished() || link.request_ids_received || !link.grants_requests;
+        let is_earlier_version = !link.grants_requests && link.had_time_to_answer(now);
+        let is_known = link.is_finished() || link.request_ids_received || is_earlier_version;
         if !is_known && !self.grants.predecessor_has_answered {
             self.grants.unknown_until = now + self.longest_client_timeout;
         }
--- a/proxy/src/net/process_handover/link.rs
+++ b/proxy/src/net/process_handover/link.rs
@@ -4,6 +4,7 @@
 use super::super::registration;
 use super::super::sources::Source;
 use super::super::stream;
+use super::grants::ANSWER_TIMEOUT_MICROS;
 use crate::handover_protocol::session_write_reports::SessionWriteReports;
 use crate::handover_protocol::{HandoverMessage, HandoverProtocol, InvalidMessage};
 use birchreach::Micros;
@@ -46,6 +47,8 @@
     pub(super) writes_recorded_until: Micros,
     /// Whether the other process has announced until when its writes are reported.
     has_announced: bool,
+    /// When the other process was first seen to have read all messages that had been sent to it.
+    all_read_at: Option<Micros>,
     /// Whether the other process understands grants of requests.
     pub(super) grants_requests: bool,
     /// Whether the other process was told that this one understands request ids.
@@ -88,6 +91,7 @@
             reports: SessionWriteReports::default(),
             writes_recorded_until: NO_WRITES_RECORDED,
             has_announced: false,
+            all_read_at: None,
             grants_requests: false,
             offered_request_ids: false,
             shares_request_ids: false,
@@ -127,6 +131,20 @@
         }
     }
 
+    /// Records when the other process has read all messages that were sent to it.
+    pub(super) fn check_unread_messages(&mut self, now: Micros) {
+        let all_read =
+            || self.protocol.outbox.pending().is_empty() && stream::unacknowledged_bytes(&self.stream) == 0;
+        if self.all_read_at.is_none() && all_read() {
+            self.all_read_at = Some(now);
+        }
+    }
+
+    /// Returns whether the other process has read the first messages long enough ago to have answered them.
+    pub(super) fn had_time_to_answer(&self, now: Micros) -> bool {
+        self.all_read_at.is_some_and(|read_at| now - read_at >= ANSWER_TIMEOUT_MICROS)
+    }
+
     /// Whether the output has space for messages about requests.
     pub(super) fn has_space(&self) -> bool {
         self.protocol.outbox.pending().len() < MAX_BUFFERED_IDS_BYTES
--- a/proxy/src/net/process_handover/mod.rs
+++ b/proxy/src/net/process_handover/mod.rs
@@ -13,7 +13,7 @@
 use crate::hash::fnv1a;
 use crate::startup_retry::StartupRetry;
 use birchreach::Micros;
-pub(super) use grants::GrantDecision;
+pub(super) use grants::{ANSWER_TIMEOUT_MICROS, GrantDecision};
 use link::{LinkProgress, ProcessLink};
 use mio::Registry;
 use mio::net::UnixListener;
--- a/proxy/src/net/request_exchange.rs
+++ b/proxy/src/net/request_exchange.rs
@@ -21,6 +21,7 @@
     /// Decides about the writes that the newer process wants to begin, and begins or rejects those about which the older one has decided.
     fn exchange_grants(&mut self) {
         let now = self.context.now;
+        self.handover.check_predecessor(now);
         let write_admission = self.handover.write_admission(now);
         self.clients.set_write_admission(write_admission);
         for (id, until) in self.handover.take_asked_by_successor() {
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -59,7 +59,8 @@
     Ok(written)
 }
 
-/// Returns the number of written bytes that the peer's machine has not acknowledged; zero if the system does not tell.
+/// Returns the number of written bytes that the peer's machine has not acknowledged, or on a Unix socket a number that is zero once the
+/// peer has read all of them. Zero if the system does not tell.
 pub(super) fn unacknowledged_bytes(stream: &impl AsRawFd) -> usize {
     let mut bytes: libc::c_int = 0;
     // SAFETY: the descriptor is open, and the call writes an int to a valid address.
--- a/proxy/tests/handover/grants.rs
+++ b/proxy/tests/handover/grants.rs
@@ -2,6 +2,7 @@
 
 use super::rig::{HandoverRig, OtherProcess, unix_micros};
 use birchreach_test_support::client::{Client, Reply};
+use std::io::Read;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -11,6 +12,16 @@
 /// How long the repeats go on once the new process serves.
 const AFTER_START: Duration = Duration::from_millis(400);
 const BETWEEN_REPEATS: Duration = Duration::from_micros(300);
+/// By then a process has handled a message, and a process that reads has read what was sent before.
+const BETWEEN_ANSWERS: Duration = Duration::from_millis(200);
+
+impl OtherProcess {
+    /// Reads what arrives until nothing has for this long.
+    fn read_available(&mut self, silence: Duration) {
+        self.stream.set_read_timeout(Some(silence)).unwrap();
+        while self.stream.read(&mut [0; 256]).is_ok_and(|count| count > 0) {}
+    }
+}
 
 impl HandoverRig {
     /// Makes the primary take this long for each write.
@@ -19,20 +30,20 @@
     }
 
     /// Number of writes that ran, and of those that ran more than once.
-    fn write_counts(&self) -> (usize, usize) {
+    pub(crate) fn write_counts(&self) -> (usize, usize) {
         let rows = &self.rig.groups[0].rows;
         (rows.write_count(), rows.duplicate_count())
     }
 }
 
-fn write(id: u32) -> String {
+pub(crate) fn write(id: u32) -> String {
     format!(
         "INSERT INTO rows (handle, blob) VALUES ('k', '\\x02') RETURNING blob /* id={id:016x},c=entry,d=20000,cluster=0 */"
     )
 }
 
 /// Starts a process whose predecessor, a stand-in, understands grants and has reported what it knows.
-fn start_beside_predecessor(rig: &HandoverRig) -> OtherProcess {
+pub(crate) fn start_beside_predecessor(rig: &HandoverRig) -> OtherProcess {
     let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
     predecessor.send("yields 2\n");
     predecessor.send_current();
@@ -40,7 +51,7 @@
 }
 
 /// Reads up to the question for a write, and returns the hash of its id.
-fn read_question(predecessor: &mut OtherProcess) -> String {
+pub(crate) fn read_question(predecessor: &mut OtherProcess) -> String {
     loop {
         let line = predecessor.read_line();
         if let Some(question) = line.strip_prefix("begin ") {
@@ -50,7 +61,7 @@
 }
 
 /// Reads up to an answer to such a question.
-fn read_decision(successor: &mut OtherProcess) -> String {
+pub(crate) fn read_decision(successor: &mut OtherProcess) -> String {
     loop {
         let line = successor.read_line();
         if line.starts_with("granted ") || line.starts_with("taken ") {
@@ -97,6 +108,49 @@
     assert_eq!(rig.write_counts(), (0, 0));
 }
 
+/// A process that stood still for the first second of its successor was taken for one of an earlier version, whose ids are not known.
+#[test]
+fn a_write_is_rejected_while_the_older_process_has_not_read_its_first_message() {
+    // Given a predecessor that reads nothing
+    let rig = HandoverRig::new(26);
+    let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
+    let mut client = rig.connect();
+    // When a client writes, then nothing begins
+    assert_eq!(client.run_statement(&write(1)).unwrap(), Reply::Error("53300".into()));
+    // When the predecessor goes on, and grants the next write, then that runs
+    assert_eq!(predecessor.read_line(), "yields 2");
+    predecessor.send("yields 2\n");
+    predecessor.send_current();
+    thread::sleep(BETWEEN_ANSWERS);
+    client.send_statement(&write(2)).unwrap();
+    let id = read_question(&mut predecessor);
+    predecessor.send(&format!("granted {id}\n"));
+    assert!(matches!(client.read_reply().unwrap(), Reply::Served(_)));
+    assert_eq!(rig.write_counts(), (1, 0));
+}
+
+/// What a process had begun that was killed while it stood still is not known.
+#[test]
+fn a_write_is_rejected_after_the_older_process_ended_without_having_read_its_first_message() {
+    let rig = HandoverRig::new(27);
+    let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
+    predecessor.close();
+    let mut client = rig.connect();
+    assert_eq!(client.run_statement(&write(1)).unwrap(), Reply::Error("53300".into()));
+    assert_eq!(rig.write_counts(), (0, 0));
+}
+
+/// A process of an earlier version reads the first messages, and says nothing.
+#[test]
+fn a_write_begins_beside_a_silent_process_that_has_read_the_first_messages() {
+    let rig = HandoverRig::new(28);
+    let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
+    predecessor.read_available(BETWEEN_ANSWERS);
+    let mut client = rig.connect();
+    assert!(matches!(client.run_statement(&write(1)).unwrap(), Reply::Served(_)));
+    assert_eq!(rig.write_counts(), (1, 0));
+}
+
 /// Once the older process has told of its open requests, the newer one goes on without it.
 #[test]
 fn a_write_that_waits_begins_when_the_older_process_ends_after_it_told_of_its_requests() {
@@ -144,7 +198,7 @@
 }
 
 /// The hash of the id that [`write`] gives a statement.
-fn id_hash(id: u32) -> u64 {
+pub(crate) fn id_hash(id: u32) -> u64 {
     super::session_of(&format!("{id:016x}"))
 }
 
--- a/proxy/tests/handover/main.rs
+++ b/proxy/tests/handover/main.rs
@@ -13,6 +13,8 @@
 
 /// Longer than the time after which a process no longer relies on the last announcement.
 const LATE: Duration = Duration::from_millis(200);
+/// By then a process that has read the first messages, and does not answer them, counts as one of an earlier version.
+const TIME_TO_ANSWER: Duration = Duration::from_millis(500);
 /// The interval at which another process announces that all its writes are reported.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -122,17 +124,18 @@
 /// An earlier version sends no announcements, and closes the link at a message that it does not know.
 #[test]
 fn beside_a_predecessor_of_an_earlier_version_session_reads_see_all_writes() {
-    // Given a predecessor of an earlier version
+    // Given a predecessor of an earlier version, which reads what it is sent
     let rig = HandoverRig::new(4);
     let mut predecessor = rig.start_as_predecessor(|| rig.start_process(1));
+    assert_eq!(predecessor.read_line(), "yields 2");
+    assert_eq!(predecessor.read_line(), "yields 0");
     // When it answers a write, then reads of the session see the write
     rig.write_elsewhere("unreported");
     rig.assert_write_is_seen(&mut rig.connect(), "unreported");
     // And it receives only messages that it knows, also after a write
-    rig.write(&mut rig.connect(), "own");
-    assert_eq!(predecessor.read_line(), "yields 2");
-    assert_eq!(predecessor.read_line(), "yields 0");
     assert_eq!(predecessor.read_line(), "serving");
+    std::thread::sleep(TIME_TO_ANSWER);
+    rig.write(&mut rig.connect(), "own");
     rig.process(1).signal("TERM");
     assert_eq!(predecessor.read_line(), "", "no further message before the end of the link");
 }
--- a/proxy/tests/handover/rig.rs
+++ b/proxy/tests/handover/rig.rs
@@ -198,7 +198,7 @@
 
 /// A stand-in for another process of the proxy, on the link to a real one.
 pub(crate) struct OtherProcess {
-    stream: UnixStream,
+    pub(crate) stream: UnixStream,
     reader: BufReader<UnixStream>,
 }
 
