Database connections: among resting ones the most recently used one waits, as before

Change: the most recently used one is taken unless it rests longer than the usual 1 ms (Pool::choose_idle).

--- a/proxy/src/net/pool/dispatch.rs
+++ b/proxy/src/net/pool/dispatch.rs
@@ -1,5 +1,5 @@
-//! Assigns tasks to connections. In order of preference, a task gets an idle connection that has settled, the idle connection whose
-//! rest ends first, once it has ended, or a new connection.
+//! Assigns tasks to connections. In order of preference, a task gets an idle connection that has settled, another idle connection once
+//! its rest has ended, or a new connection.
 
 use super::super::event_loop_context::EventLoopContext;
 use super::super::ids::{ConnectionKey, ConnectionSerial};
@@ -7,6 +7,7 @@
 use super::Pool;
 use super::close_reason::DatabaseCloseReason;
 use super::connection::{Connection, ConnectionState, ConnectionTask};
+use super::round_trip::COOLDOWN_MICROS;
 use crate::reply::Reply;
 use birchreach::{AttemptOutcome, Micros, ServerId};
 
@@ -42,24 +43,34 @@
         }
     }
 
-    /// Takes the most recently used idle connection that has settled, or else the one whose rest ends first.
+    /// Takes an idle connection to a server, if there is one.
     fn take_idle(&mut self, context: &EventLoopContext, server: ServerId) -> Option<IdleConnection> {
-        let settled_since = context.now - self.round_trips.settling_time(server);
-        let keys = self.idle.get(&server)?;
-        let settled = keys.iter().rposition(|key| self.connections[*key].idle_since <= settled_since);
-        let index = match settled {
-            Some(index) => index,
-            None => (0..keys.len()).min_by_key(|index| self.rest_ends_at(context, keys[*index]))?,
-        };
-        let ends_at = self.rest_ends_at(context, keys[index]);
+        let index = self.choose_idle(context, server)?;
         let key = self.idle.get_mut(&server)?.remove(index);
-        Some(if ends_at <= context.now {
+        Some(if self.rest_ends_at(context, key) <= context.now {
             IdleConnection::Ready(key)
         } else {
             IdleConnection::CoolingDown(key)
         })
     }
 
+    /// Returns the position of the idle connection to use: the most recently used one that has settled, else the one whose rest ended
+    /// first. If all have still to rest, the most recently used one, or the one whose rest ends first if that one rests longer than usual.
+    fn choose_idle(&self, context: &EventLoopContext, server: ServerId) -> Option<usize> {
+        let keys = self.idle.get(&server)?;
+        let settled_since = context.now - self.round_trips.settling_time(server);
+        let settled = keys.iter().rposition(|key| self.connections[*key].idle_since <= settled_since);
+        if settled.is_some() {
+            return settled;
+        }
+        let rest_ends_at = |index: usize| self.rest_ends_at(context, keys[index]);
+        let first_rested = (0..keys.len()).min_by_key(|index| rest_ends_at(*index))?;
+        let last = keys.len() - 1;
+        let all_rest = rest_ends_at(first_rested) > context.now;
+        let last_rests_shortly = rest_ends_at(last) <= context.now + COOLDOWN_MICROS;
+        Some(if all_rest && last_rests_shortly { last } else { first_rested })
+    }
+
     /// Returns when a connection has rested after its last reply: no later than another one might take to open.
     fn rest_ends_at(&self, context: &EventLoopContext, key: ConnectionKey) -> Micros {
         let connection = &self.connections[key];
--- a/proxy/src/net/pool/round_trip.rs
+++ b/proxy/src/net/pool/round_trip.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 
 /// How long a connection rests after a reply.
-const COOLDOWN_MICROS: Micros = 1_000;
+pub(super) const COOLDOWN_MICROS: Micros = 1_000;
 /// A connection that has rested for this many round trips is as good as a new one.
 const SETTLED_ROUND_TRIPS: Micros = 8;
 /// Unexpected bytes within this time after a reply are taken for a remainder of it. Later ones may announce the end of the connection.
