Handover: grants of writes are named by the terms of the field

Cause: names such as Ask, Refuse and ask_for_grant told neither who answers nor what becomes of the write. Change: WriteAdmission has Allowed, NeedsGrant and Rejected; grants are requested; no behaviour is changed and no name on the link.

--- a/proxy/src/net/clients/grants.rs
+++ b/proxy/src/net/clients/grants.rs
@@ -16,18 +16,18 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum WriteAdmission {
     #[default]
-    Free,
+    Allowed,
     /// Only if another process grants it.
-    Ask,
+    NeedsGrant,
     /// No: it is not known which writes may still run at another process.
-    Refuse,
+    Rejected,
 }
 
 /// A write that waits for its grant.
 pub(super) struct WaitingWrite {
     statement: Statement,
     request: RoutingRequest,
-    asked_at: Micros,
+    requested_at: Micros,
     /// When the write is rejected if it has not been decided.
     rejected_at: Micros,
 }
@@ -40,7 +40,7 @@
 
 impl Client {
     /// Begins a write that was admitted, makes it wait for its grant, or rejects it.
-    pub(super) fn begin_or_ask(
+    pub(super) fn begin_or_request_grant(
         &mut self,
         context: &mut EventLoopContext,
         admission: &mut StatementAdmission,
@@ -48,18 +48,18 @@
         statement: Statement,
         request: RoutingRequest,
     ) {
-        let must_wait = statement.is_write && admission.write_admission != WriteAdmission::Free;
+        let must_wait = statement.is_write && admission.write_admission != WriteAdmission::Allowed;
         if !must_wait {
             return self.begin(context, key, statement, request);
         }
-        if admission.write_admission == WriteAdmission::Refuse {
-            return self.refuse(admission, &statement);
+        if admission.write_admission == WriteAdmission::Rejected {
+            return self.reject_unstarted(admission, &statement);
         }
-        let (id, asked_at) = (IdHash::of(statement.id()), context.now);
-        let rejected_at = asked_at + request.timeout.min(ANSWER_TIMEOUT_MICROS);
-        admission.ask_for_grant(id, key, asked_at + request.timeout);
+        let (id, requested_at) = (IdHash::of(statement.id()), context.now);
+        let rejected_at = requested_at + request.timeout.min(ANSWER_TIMEOUT_MICROS);
+        admission.request_grant(id, key, requested_at + request.timeout);
         context.timers.set(rejected_at, TimerEvent::GrantTimeout(id));
-        self.waiting_write = Some(WaitingWrite { statement, request, asked_at, rejected_at });
+        self.waiting_write = Some(WaitingWrite { statement, request, requested_at, rejected_at });
     }
 
     fn begin(
@@ -75,7 +75,7 @@
     }
 
     /// Rejects a write of which nothing has begun.
-    fn refuse(&mut self, admission: &mut StatementAdmission, statement: &Statement) {
+    fn reject_unstarted(&mut self, admission: &mut StatementAdmission, statement: &Statement) {
         admission.release(statement);
         let message = "another process of this proxy does not answer; a repeat is harmless";
         self.protocol.reject(SqlState::TOO_MANY_CONNECTIONS, message);
@@ -89,8 +89,8 @@
     }
 
     /// Removes and returns a write for which another process has to be asked.
-    pub(crate) fn next_write_to_ask_for(&mut self) -> Option<(IdHash, Micros)> {
-        self.admission.next_write_to_ask_for()
+    pub(crate) fn next_grant_request(&mut self) -> Option<(IdHash, Micros)> {
+        self.admission.next_grant_request()
     }
 
     /// Returns whether a request with this id may run or begin here.
@@ -108,12 +108,12 @@
         let Some(key) = self.admission.take_waiting(id) else { return };
         let Some(client) = self.connections.get_mut(key.0) else { return };
         let is_same = |write: &mut WaitingWrite| IdHash::of(write.statement.id()) == id;
-        let Some(WaitingWrite { statement, mut request, asked_at, .. }) =
+        let Some(WaitingWrite { statement, mut request, requested_at, .. }) =
             client.waiting_write.take_if(is_same)
         else {
             return;
         };
-        request.timeout -= context.now - asked_at;
+        request.timeout -= context.now - requested_at;
         match decision {
             GrantDecision::Granted if request.timeout > 0 => client.begin(context, key, statement, request),
             GrantDecision::Taken => {
@@ -121,7 +121,9 @@
                 let error = StatementError::DuplicateId;
                 client.protocol.reject(error.sqlstate(), &error.to_string());
             }
-            GrantDecision::Granted | GrantDecision::Unknown => client.refuse(&mut self.admission, &statement),
+            GrantDecision::Granted | GrantDecision::Unknown => {
+                client.reject_unstarted(&mut self.admission, &statement)
+            }
         }
         self.process_client(context, key);
     }
@@ -130,9 +132,9 @@
     pub(crate) fn decide_waiting_writes(&mut self, context: &mut EventLoopContext) {
         for id in self.admission.waiting_ids() {
             let decision = match self.admission.write_admission {
-                WriteAdmission::Refuse | WriteAdmission::Ask => GrantDecision::Unknown,
-                WriteAdmission::Free if self.admission.is_held(id, context.now) => GrantDecision::Taken,
-                WriteAdmission::Free => GrantDecision::Granted,
+                WriteAdmission::Rejected | WriteAdmission::NeedsGrant => GrantDecision::Unknown,
+                WriteAdmission::Allowed if self.admission.is_held(id, context.now) => GrantDecision::Taken,
+                WriteAdmission::Allowed => GrantDecision::Granted,
             };
             self.grant_decided(context, id, decision);
         }
--- a/proxy/src/net/clients/statement_admission.rs
+++ b/proxy/src/net/clients/statement_admission.rs
@@ -19,7 +19,7 @@
     /// The clients whose writes wait until another process has granted that they begin, by the id.
     waiting: HashMap<IdHash, ClientKey>,
     /// Those of the waiting writes for which the other process has still to be asked, and until when they may begin.
-    to_ask_for: Vec<(IdHash, Micros)>,
+    unsent_grant_requests: Vec<(IdHash, Micros)>,
 }
 
 impl StatementAdmission {
@@ -77,14 +77,14 @@
     }
 
     /// Makes the write of a client wait until another process has granted that it begins.
-    pub(super) fn ask_for_grant(&mut self, id: IdHash, client: ClientKey, until: Micros) {
+    pub(super) fn request_grant(&mut self, id: IdHash, client: ClientKey, until: Micros) {
         self.waiting.insert(id, client);
-        self.to_ask_for.push((id, until));
+        self.unsent_grant_requests.push((id, until));
     }
 
     /// Removes and returns a write for which another process has to be asked.
-    pub(super) fn next_write_to_ask_for(&mut self) -> Option<(IdHash, Micros)> {
-        self.to_ask_for.pop()
+    pub(super) fn next_grant_request(&mut self) -> Option<(IdHash, Micros)> {
+        self.unsent_grant_requests.pop()
     }
 
     /// Returns the client whose write with this id waits.
--- a/proxy/src/net/clients/turn.rs
+++ b/proxy/src/net/clients/turn.rs
@@ -235,7 +235,7 @@
     ) {
         match admission.admit(context, &statement, arrived_at) {
             Err(error) => self.protocol.reject(error.sqlstate(), &error.to_string()),
-            Ok(request) => self.begin_or_ask(context, admission, key, statement, request),
+            Ok(request) => self.begin_or_request_grant(context, admission, key, statement, request),
         }
     }
 }
--- a/proxy/src/net/commands.rs
+++ b/proxy/src/net/commands.rs
@@ -19,8 +19,8 @@
             } else if let Some(attempt) = self.clients.next_attempt_to_resume() {
                 // The client has taken all bytes of a streamed value that were received, so the attempt reads more.
                 self.pool.resume_reading(&mut self.context, attempt);
-            } else if let Some(write) = self.clients.next_write_to_ask_for() {
-                if !self.handover.ask_for_grant(&self.context, write) {
+            } else if let Some(write) = self.clients.next_grant_request() {
+                if !self.handover.request_grant(&self.context, write) {
                     self.clients.grant_decided(&mut self.context, write.0, GrantDecision::Unknown);
                 }
             } else {
--- a/proxy/src/net/process_handover/grants.rs
+++ b/proxy/src/net/process_handover/grants.rs
@@ -30,7 +30,7 @@
 #[derive(Default)]
 pub(super) struct Grants {
     /// Writes that the successor asks for, which the clients' owner has still to be asked about.
-    asked_by_successor: Vec<WriteToBegin>,
+    successor_requests: Vec<WriteToBegin>,
     /// Writes that the successor asks for, about which the predecessor was asked.
     passed_on: HashMap<IdHash, Micros>,
     decisions: Vec<(IdHash, GrantDecision)>,
@@ -44,12 +44,12 @@
     /// Returns whether writes may begin here.
     pub(in super::super) fn write_admission(&self, now: Micros) -> WriteAdmission {
         match &self.predecessor {
-            Some(link) if link.grants_requests => WriteAdmission::Ask,
+            Some(link) if link.grants_requests => WriteAdmission::NeedsGrant,
             // A process of an earlier version tells of its ids, if it does so, and is not asked.
-            Some(link) if link.had_time_to_answer(now) => WriteAdmission::Free,
-            Some(_) => WriteAdmission::Refuse,
-            None if now < self.grants.unknown_until => WriteAdmission::Refuse,
-            None => WriteAdmission::Free,
+            Some(link) if link.had_time_to_answer(now) => WriteAdmission::Allowed,
+            Some(_) => WriteAdmission::Rejected,
+            None if now < self.grants.unknown_until => WriteAdmission::Rejected,
+            None => WriteAdmission::Allowed,
         }
     }
 
@@ -61,7 +61,7 @@
     }
 
     /// Asks the predecessor whether a write may begin. Returns false if it cannot be asked now.
-    pub(in super::super) fn ask_for_grant(
+    pub(in super::super) fn request_grant(
         &mut self,
         context: &EventLoopContext,
         (id, until): WriteToBegin,
@@ -75,8 +75,8 @@
     }
 
     /// Returns the writes that the successor wants to begin, since the last call.
-    pub(in super::super) fn take_asked_by_successor(&mut self) -> Vec<WriteToBegin> {
-        std::mem::take(&mut self.grants.asked_by_successor)
+    pub(in super::super) fn take_successor_requests(&mut self) -> Vec<WriteToBegin> {
+        std::mem::take(&mut self.grants.successor_requests)
     }
 
     /// Returns the decisions about the writes of this process's clients, since the last call, and passes on those that the successor
@@ -101,7 +101,7 @@
 
     /// Asks the predecessor about a write that the successor wants to begin.
     pub(in super::super) fn pass_on(&mut self, context: &EventLoopContext, write: WriteToBegin) {
-        if self.ask_for_grant(context, write) {
+        if self.request_grant(context, write) {
             self.grants.passed_on.insert(write.0, write.1);
         }
     }
@@ -122,10 +122,10 @@
     }
 
     /// Records that the successor wants to begin a write.
-    pub(super) fn record_ask(&mut self, id: IdHash, until: i64, context: &EventLoopContext) {
+    pub(super) fn record_grant_request(&mut self, id: IdHash, until: i64, context: &EventLoopContext) {
         let until = until.saturating_sub(context.clock.unix_offset());
         let longest = context.now + self.longest_client_timeout;
-        self.grants.asked_by_successor.push((id, until.min(longest)));
+        self.grants.successor_requests.push((id, until.min(longest)));
     }
 
     /// Records an answer of the predecessor.
--- a/proxy/src/net/process_handover/session_writes.rs
+++ b/proxy/src/net/process_handover/session_writes.rs
@@ -117,7 +117,7 @@
             HandoverMessage::RoleConfirmed(role) => self.apply_role(peer, role, context),
             HandoverMessage::SharesRequestIds => self.start_sharing_request_ids(peer),
             HandoverMessage::GrantsRequests => self.start_granting(peer),
-            HandoverMessage::MayBegin { id, until } => self.record_ask(IdHash(id), until, context),
+            HandoverMessage::MayBegin { id, until } => self.record_grant_request(IdHash(id), until, context),
             HandoverMessage::RequestGranted(id) => self.record_decision(IdHash(id), GrantDecision::Granted),
             HandoverMessage::RequestTaken(id) => self.record_decision(IdHash(id), GrantDecision::Taken),
             HandoverMessage::RequestBegun { id, until } => {
--- a/proxy/src/net/request_exchange.rs
+++ b/proxy/src/net/request_exchange.rs
@@ -24,12 +24,12 @@
         self.handover.check_predecessor(now);
         let write_admission = self.handover.write_admission(now);
         self.clients.set_write_admission(write_admission);
-        for (id, until) in self.handover.take_asked_by_successor() {
+        for (id, until) in self.handover.take_successor_requests() {
             if self.clients.is_id_in_use(now, id) {
                 self.handover.answer_successor(id, GrantDecision::Taken);
-            } else if write_admission == WriteAdmission::Ask {
+            } else if write_admission == WriteAdmission::NeedsGrant {
                 self.handover.pass_on(&self.context, (id, until));
-            } else if write_admission == WriteAdmission::Free && self.clients.hold_id(id, until) {
+            } else if write_admission == WriteAdmission::Allowed && self.clients.hold_id(id, until) {
                 self.handover.answer_successor(id, GrantDecision::Granted);
             }
         }
@@ -38,7 +38,7 @@
         for (id, decision) in decisions {
             self.clients.grant_decided(&mut self.context, id, decision);
         }
-        if write_admission != WriteAdmission::Ask {
+        if write_admission != WriteAdmission::NeedsGrant {
             // The older process has ended, and answers no more.
             self.handover.drop_passed_on();
             self.clients.decide_waiting_writes(&mut self.context);
