Database connections: only distant ones rest longer after a reply without a position

Seen by reading: a deployment whose databases tell no position would rest for eight round trips after each reply, also where the round trip is shorter than the 1 ms of the usual rest, and nothing is gained. Change: RoundTrips::rest asks for a distant server first, as the comparison of replies did.

--- a/proxy/src/net/pool/round_trip.rs
+++ b/proxy/src/net/pool/round_trip.rs
@@ -108,7 +108,8 @@
         let is_trusted =
             |known: &Measurements| known.has_at_least(MIN_MEASUREMENTS) && now >= known.rests_longer_until;
         let server_is_trusted = self.by_server.get(&connection.server).is_some_and(is_trusted);
-        if server_is_trusted && !connection.must_settle {
+        let must_settle = connection.must_settle && self.distant_round_trip(connection.server).is_some();
+        if server_is_trusted && !must_settle {
             COOLDOWN_MICROS
         } else {
             self.settling_time(connection.server)
@@ -143,12 +144,15 @@
         shortest - (shortest / ERROR_DIVISOR).max(MIN_ERROR_MICROS)
     }
 
-    /// Returns the time after a query within which bytes that were sent before it may arrive. Zero if the cooldown is longer than the
-    /// round trip: what is sent that soon after a reply arrives before the next query is sent.
-    fn latest_remainder(&self, server: ServerId) -> Micros {
-        let is_distant = |round_trip: &Micros| *round_trip > COOLDOWN_MICROS;
-        let distant = self.shortest_of(server, MIN_MEASUREMENTS).filter(is_distant);
-        distant.map_or(0, |shortest| shortest + shortest / JITTER_DIVISOR)
+    /// Returns the shortest round trip to a server if it is longer than the cooldown. If it is not, what the server sends up to a round
+    /// trip after a reply arrives before the next query is sent.
+    fn distant_round_trip(&self, server: ServerId) -> Option<Micros> {
+        self.shortest_of(server, MIN_MEASUREMENTS).filter(|round_trip| *round_trip > COOLDOWN_MICROS)
+    }
+
+    /// Returns the time after a query to a distant server within which bytes that were sent before it may arrive.
+    fn latest_remainder(&self, server: ServerId) -> Option<Micros> {
+        self.distant_round_trip(server).map(|shortest| shortest + shortest / JITTER_DIVISOR)
     }
 
     /// Handles the first bytes on a connection after its startup message or query. Returns whether they cannot belong to the reply.
@@ -179,7 +183,8 @@
     /// Handles the complete reply to a query. Returns whether it is a second copy of the reply before it.
     pub(super) fn reply_completed(&mut self, connection: &mut Connection, identity: ReplyIdentity) -> bool {
         let delay = connection.reply_delay.unwrap_or_default();
-        let may_be_copy = connection.follows_recent_reply && delay < self.latest_remainder(connection.server);
+        let may_be_remainder = self.latest_remainder(connection.server).is_some_and(|latest| delay < latest);
+        let may_be_copy = connection.follows_recent_reply && may_be_remainder;
         if may_be_copy && connection.last_reply.as_ref() == Some(&identity) {
             return true;
         }
