Values of up to 64 KiB keep their deadline while memory is short

Cause: while memory was short, values above 8 KiB were streamed (Backend::set_max_buffered_value from MemoryBudget::database_read_bytes). A streamed value has no deadline (Router::on_response_started, Pool::attempt_timed_out), and no error can follow its first byte. A cut at the deadline would lose the request, so that nothing may be forwarded before the whole reply is there. Change: a value of up to 64 KiB is never streamed before its whole reply, up to ReadyForQuery, has arrived. While memory is short the rest waits in the receive buffer of the socket, which is looked at (FIONREAD, MSG_PEEK) without being read, and is then forwarded in pieces of 8 KiB (net/pool/held_replies.rs). Until then the attempt has its deadline, may be hedged and retried, and ends if its database closes. No reply needs memory that another one holds. relay.memory.held_replies counts those that wait. Evidence: two of the three tests in proxy/tests/memory/unfinished_answers.rs failed before (served with 64002 bytes after the deadline; the connection ended).

--- a/proxy/src/memory/report.rs
+++ b/proxy/src/memory/report.rs
@@ -21,6 +21,8 @@
     pub limit: usize,
     pub clients: HeldBytes,
     pub databases: HeldBytes,
+    /// Connections to databases whose replies wait in their sockets.
+    pub held_replies: usize,
     /// Timers that are set, including those that no longer apply.
     pub timers: usize,
 }
@@ -41,6 +43,7 @@
         line("client_statements", self.clients.statements);
         line("database_input", self.databases.input);
         line("database_output", self.databases.output);
+        line("held_replies", self.held_replies);
         line("timers", self.timers);
         text
     }
--- a/proxy/src/net/admin_calls.rs
+++ b/proxy/src/net/admin_calls.rs
@@ -53,6 +53,7 @@
             limit: self.config.memory_limit,
             clients: self.clients.held_bytes(),
             databases: self.pool.held_bytes(),
+            held_replies: self.pool.held_reply_count(),
             timers: self.context.timers.len(),
         }
     }
--- a/proxy/src/net/pool/connection.rs
+++ b/proxy/src/net/pool/connection.rs
@@ -86,6 +86,10 @@
     pub has_completed_query: bool,
     /// When the last bytes of a streamed value arrived, or when reading it was last resumed.
     pub last_progress_at: Micros,
+    /// The reply waits in the socket for memory.
+    pub reply_held: bool,
+    /// The receive buffer of the socket was enlarged for replies that wait in it.
+    pub has_large_receive_buffer: bool,
     /// Reading is paused until the client has taken the bytes of a streamed value that were forwarded to it.
     pub reading_paused: bool,
 }
@@ -120,6 +124,8 @@
             follows_recent_reply: false,
             has_completed_query: false,
             last_progress_at: now,
+            reply_held: false,
+            has_large_receive_buffer: false,
             reading_paused: false,
         }
     }
--- a/proxy/src/net/pool/expiry.rs
+++ b/proxy/src/net/pool/expiry.rs
@@ -107,6 +107,7 @@
 
     /// Closes connections whose response has stalled, and those that have been idle for the idle timeout.
     pub(crate) fn close_expired(&mut self, context: &mut EventLoopContext) {
+        self.check_held_replies(context);
         let now = context.now;
         let has_stalled = |connection: &Connection| {
             connection.protocol.is_streaming()
--- /dev/null
+++ b/proxy/src/net/pool/held_replies.rs
@@ -0,0 +1,129 @@
+//! Replies that wait in their sockets while memory is short.
+//!
+//! A value of up to 64 KiB is forwarded only if the whole reply has arrived, so that a reply which does not arrive in time can still be
+//! replaced by an error. If there is no memory for the value, its connection stops reading: the rest arrives in the receive buffer of the
+//! socket, which belongs to the kernel. Once the whole reply is there, it is forwarded in small pieces, and the database can no longer
+//! delay it. Until then the attempt has its deadline, and can be cancelled and retried like any other. No reply needs memory that
+//! another one holds, so replies never wait for each other.
+
+#[cfg(test)]
+mod tests;
+
+use super::super::event_loop_context::EventLoopContext;
+use super::super::ids::{ConnectionKey, ConnectionSerial};
+use super::super::stream::{self, PeerState};
+use super::Pool;
+use super::close_reason::DatabaseCloseReason;
+use super::connection::Connection;
+use crate::memory::MemoryBudget;
+use crate::pg::codec::{MAX_SERVER_MESSAGE_BYTES, has_complete_reply_end};
+use std::collections::VecDeque;
+
+/// What may be done with the input of a connection now.
+pub(super) enum ReadPermission {
+    /// Up to this many bytes may be read.
+    Bytes(usize),
+    /// There is no memory for the next row, and its reply has not arrived in full.
+    Hold,
+    /// The database has closed the connection before the end of the reply, which therefore never arrives.
+    Ended(DatabaseCloseReason),
+}
+
+/// The connections whose replies are held.
+#[derive(Default)]
+pub(super) struct HeldReplies {
+    /// The connection that has waited longest comes first. An entry may belong to a connection that has been closed.
+    waiting: VecDeque<(ConnectionKey, ConnectionSerial)>,
+}
+
+impl Pool {
+    /// Decides how much may be read from a connection. Arranges that the next row is streamed if its whole reply has arrived.
+    pub(super) fn read_permission(
+        &mut self,
+        context: &mut EventLoopContext,
+        key: ConnectionKey,
+    ) -> ReadPermission {
+        let limit = context.memory.database_read_bytes(context.scratch.len());
+        if !context.memory.is_under_pressure() {
+            return ReadPermission::Bytes(limit);
+        }
+        let connection = &mut self.connections[key];
+        let missing = connection.protocol.missing_row_bytes();
+        if missing == 0 {
+            return ReadPermission::Bytes(limit);
+        }
+        let guaranteed = context.memory.guaranteed_database_input();
+        let allowed = guaranteed.saturating_sub(connection.protocol.unread_bytes());
+        if allowed > 0 {
+            return ReadPermission::Bytes(limit.min(allowed));
+        }
+        // Read before the receive buffer, since nothing arrives after the end.
+        let peer = stream::peer_state(&connection.stream);
+        if connection.has_reply_in_socket(missing, &mut context.scratch) {
+            connection.protocol.stream_next_row();
+            return ReadPermission::Bytes(limit);
+        }
+        match peer {
+            PeerState::Open => ReadPermission::Hold,
+            PeerState::Closed => ReadPermission::Ended(DatabaseCloseReason::Closed),
+            PeerState::Failed => ReadPermission::Ended(DatabaseCloseReason::Reset),
+        }
+    }
+
+    /// Remembers that a connection has to be read again, since the poll may not report it another time.
+    pub(super) fn hold_reply(&mut self, key: ConnectionKey) {
+        let connection = &mut self.connections[key];
+        if !std::mem::replace(&mut connection.reply_held, true) {
+            self.held_replies.waiting.push_back((key, connection.serial));
+        }
+    }
+
+    /// Returns whether replies are held although there is memory for them.
+    pub(crate) fn can_continue_held_replies(&self, memory: &MemoryBudget) -> bool {
+        !self.held_replies.waiting.is_empty() && !memory.is_under_pressure()
+    }
+
+    /// Reads replies that were held for a lack of memory, as long as there is some.
+    pub(crate) fn continue_held_replies(&mut self, context: &mut EventLoopContext) {
+        for _ in 0..self.held_replies.waiting.len() {
+            if !self.can_continue_held_replies(&context.memory) {
+                return;
+            }
+            self.read_next_held_reply(context);
+        }
+    }
+
+    /// Looks at all held replies again, in case that an earlier look at a socket failed.
+    pub(super) fn check_held_replies(&mut self, context: &mut EventLoopContext) {
+        for _ in 0..self.held_replies.waiting.len() {
+            self.read_next_held_reply(context);
+        }
+    }
+
+    fn read_next_held_reply(&mut self, context: &mut EventLoopContext) {
+        let Some((key, serial)) = self.held_replies.waiting.pop_front() else { return };
+        let is_same = |connection: &&mut Connection| connection.serial == serial;
+        let Some(connection) = self.connections.get_mut(key).filter(is_same) else { return };
+        connection.reply_held = false;
+        self.read(context, key);
+    }
+
+    /// Returns the number of connections whose replies wait for memory.
+    pub(crate) fn held_reply_count(&self) -> usize {
+        self.connections.iter().filter(|(_, connection)| connection.reply_held).count()
+    }
+}
+
+impl Connection {
+    /// Returns whether the socket has received the rest of a row, of which `missing` bytes have not been read, and the end of its reply.
+    fn has_reply_in_socket(&mut self, missing: usize, scratch: &mut [u8]) -> bool {
+        if !std::mem::replace(&mut self.has_large_receive_buffer, true) {
+            stream::enlarge_receive_buffer(&self.stream, MAX_SERVER_MESSAGE_BYTES);
+        }
+        if stream::unread_bytes(&self.stream) <= missing {
+            return false;
+        }
+        let Ok(count) = self.stream.peek(scratch) else { return false };
+        scratch[..count].get(missing..).is_some_and(has_complete_reply_end)
+    }
+}
--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -8,6 +8,7 @@
 mod connection_table;
 mod dispatch;
 mod expiry;
+mod held_replies;
 mod opening;
 mod query;
 mod reply_identity;
@@ -29,6 +30,7 @@
 use birchreach_settings::DeploymentSettings;
 use connection::{AttemptTask, ConnectionTask};
 use connection_table::ConnectionTable;
+use held_replies::HeldReplies;
 use round_trip::RoundTrips;
 use rustc_hash::FxHashMap;
 
@@ -45,6 +47,7 @@
     /// The connection of each attempt that has not completed.
     attempt_connections: FxHashMap<AttemptId, ConnectionKey>,
     round_trips: RoundTrips,
+    held_replies: HeldReplies,
     max_connections: usize,
     /// The system had no free descriptor, and no connection was idle that could be closed.
     descriptors_exhausted: bool,
@@ -68,6 +71,7 @@
             idle: FxHashMap::default(),
             attempt_connections: FxHashMap::default(),
             round_trips: RoundTrips::default(),
+            held_replies: HeldReplies::default(),
             max_connections,
             descriptors_exhausted: false,
             last_connection: ConnectionSerial::default(),
--- a/proxy/src/net/pool/socket_io.rs
+++ b/proxy/src/net/pool/socket_io.rs
@@ -6,8 +6,8 @@
 use super::Pool;
 use super::close_reason::DatabaseCloseReason;
 use super::connection::{ConnectionState, ConnectionTask, QueryProgress};
+use super::held_replies::ReadPermission;
 use crate::core::AttemptId;
-use crate::pg::codec::MAX_BUFFERED_VALUE_BYTES;
 use crate::reply::Reply;
 use birchreach::AttemptOutcome;
 use std::io::ErrorKind;
@@ -68,19 +68,30 @@
         ConnectionState::Closed
     }
 
-    /// Reads all input that has arrived and handles its events. Reads nothing while reading is paused.
+    /// Reads all input that has arrived and handles its events. Reads nothing while reading is paused, and no more than the memory
+    /// allows.
     pub(super) fn read(&mut self, context: &mut EventLoopContext, key: ConnectionKey) -> ConnectionState {
         if self.connections[key].is_connecting() {
             return ConnectionState::Open;
         }
         loop {
-            let Some(connection) = self.connections.get_mut(key) else { return ConnectionState::Closed };
+            let Some(connection) = self.connections.get(key) else { return ConnectionState::Closed };
             if connection.reading_paused {
                 return ConnectionState::Open;
             }
+            let limit = match self.read_permission(context, key) {
+                ReadPermission::Bytes(limit) => limit,
+                ReadPermission::Hold => {
+                    self.hold_reply(key);
+                    return ConnectionState::Open;
+                }
+                ReadPermission::Ended(reason) => {
+                    self.connection_ended(context, key, reason);
+                    return ConnectionState::Closed;
+                }
+            };
+            let connection = &mut self.connections[key];
             let protocol = &mut connection.protocol;
-            let limit = context.memory.database_read_bytes(context.scratch.len());
-            protocol.set_max_buffered_value(context.memory.database_read_bytes(MAX_BUFFERED_VALUE_BYTES));
             // Reads one piece at a time: its events are handled before more is buffered.
             let mut received = false;
             let read = stream::read(&mut connection.stream, &mut context.scratch[..limit], |bytes| {
@@ -98,7 +109,7 @@
                 return ConnectionState::Closed;
             }
             if self.holds_too_much(context, key) {
-                // A row would have been forwarded in pieces. The query may have run.
+                // The query may have run.
                 let reply = Reply::with_outcome(AttemptOutcome::Error);
                 self.fail_connection(context, key, DatabaseCloseReason::Memory, reply);
                 return ConnectionState::Closed;
@@ -114,10 +125,13 @@
         }
     }
 
-    /// Returns whether memory is exhausted and the connection holds more input than what it is guaranteed.
+    /// Returns whether memory is exhausted and the connection holds more input than what it is guaranteed. A row does not count: no more
+    /// of it is read.
     fn holds_too_much(&self, context: &EventLoopContext, key: ConnectionKey) -> bool {
         let protocol = &self.connections[key].protocol;
-        context.memory.is_exhausted() && protocol.unread_bytes() > context.memory.guaranteed_database_input()
+        context.memory.is_exhausted()
+            && protocol.unread_bytes() > context.memory.guaranteed_database_input()
+            && protocol.missing_row_bytes() == 0
     }
 
     /// Resumes reading a streamed value after the client has taken the bytes that were forwarded to it.
--- a/proxy/src/net/pool/tests.rs
+++ b/proxy/src/net/pool/tests.rs
@@ -27,15 +27,15 @@
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
 /// A pool with one database, the primary of group 0, which the test plays.
-struct Fixture {
-    context: EventLoopContext,
-    pool: Pool,
+pub(super) struct Fixture {
+    pub(super) context: EventLoopContext,
+    pub(super) pool: Pool,
     database: TcpListener,
 }
 
 impl Fixture {
     /// Creates a pool with the settings of the exchanges, in which attempts cannot be cancelled.
-    fn new() -> Fixture {
+    pub(super) fn new() -> Fixture {
         let config = include_str!("../../../tests/exchanges/config.json");
         let config = config.replace(r#""may_cancel": true"#, r#""may_cancel": false"#);
         let config: Json = serde_json::from_str(&config).unwrap();
@@ -58,7 +58,7 @@
     }
 
     /// Accepts the pool's connection and answers its startup message.
-    fn accept(&mut self) -> TcpStream {
+    pub(super) fn accept(&mut self) -> TcpStream {
         let (mut stream, _) = self.database.accept().unwrap();
         stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
         stream.set_nonblocking(true).unwrap();
@@ -79,7 +79,7 @@
     }
 
     /// Serves the pool's connections that become ready within a moment.
-    fn serve(&mut self) {
+    pub(super) fn serve(&mut self) {
         let mut events = Events::with_capacity(8);
         self.context.poll.poll(&mut events, Some(Duration::from_millis(5))).unwrap();
         for _ in events.iter() {
@@ -171,7 +171,7 @@
     assert!(!results[0].complete);
 }
 
-/// Only rows can be forwarded in pieces. Any other message is held until it is complete.
+/// Only rows can wait in the socket. Any other message is held until it is complete.
 #[test]
 fn a_database_cannot_make_the_process_hold_a_long_message_while_memory_is_exhausted() {
     // Given a write that has been sent, and a process without free memory
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -68,6 +68,57 @@
     if result == 0 { usize::try_from(bytes).unwrap_or(0) } else { 0 }
 }
 
+/// Returns the number of bytes that the system has received and that have not been read. Zero if the system does not tell.
+pub(super) fn unread_bytes(stream: &impl AsRawFd) -> usize {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open, and the call writes an int to a valid address.
+    let result = unsafe { libc::ioctl(stream.as_raw_fd(), libc::FIONREAD, &raw mut bytes) };
+    if result == 0 { usize::try_from(bytes).unwrap_or(0) } else { 0 }
+}
+
+/// Whether the peer may still send something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PeerState {
+    Open,
+    /// The peer has closed its sending side. What it sent before may be unread.
+    Closed,
+    /// The connection was reset or failed. What arrived before may be unread.
+    Failed,
+}
+
+/// Returns whether the peer may still send something, without reading.
+pub(super) fn peer_state(stream: &impl AsRawFd) -> PeerState {
+    let mut poll = libc::pollfd { fd: stream.as_raw_fd(), events: libc::POLLRDHUP, revents: 0 };
+    // SAFETY: the call gets one valid entry, whose descriptor is open, and does not wait.
+    let reported = unsafe { libc::poll(&raw mut poll, 1, 0) };
+    if reported <= 0 {
+        PeerState::Open
+    } else if poll.revents & libc::POLLERR != 0 {
+        PeerState::Failed
+    } else {
+        PeerState::Closed
+    }
+}
+
+/// Makes the system keep at least this many received bytes, as far as its limits allow. The buffer can still grow.
+pub(super) fn enlarge_receive_buffer(stream: &impl AsRawFd, bytes: usize) {
+    // The system makes the buffer large enough for the bytes that the reader waits for, and keeps the size after that.
+    let minimum_sizes = [libc::c_int::try_from(bytes).unwrap_or(libc::c_int::MAX), 1];
+    for size in minimum_sizes {
+        // SAFETY: the descriptor is open, and the option's value is an int at a valid address.
+        let result = unsafe {
+            libc::setsockopt(
+                stream.as_raw_fd(),
+                libc::SOL_SOCKET,
+                libc::SO_RCVLOWAT,
+                (&raw const size).cast(),
+                size_of::<libc::c_int>() as libc::socklen_t,
+            )
+        };
+        debug_assert!(result == 0, "the option is valid for each socket");
+    }
+}
+
 /// Writes the output of a database connection as far as the socket accepts it, with one system call for all parts of a long
 /// statement. Returns whether all of the output has been written.
 pub(super) fn write_query(stream: &mut impl Write, protocol: &mut Backend) -> Result<bool, StreamEnd> {
--- a/proxy/src/pg/backend/mod.rs
+++ b/proxy/src/pg/backend/mod.rs
@@ -83,8 +83,6 @@
     long_statement: Option<LongStatement>,
     partial_reply: PartialReply,
     load_report_format: LoadReportFormat,
-    /// Longer values are streamed, so that they are not held as a whole, in bytes.
-    max_buffered_value: usize,
 }
 
 impl Backend {
@@ -99,7 +97,6 @@
             long_statement: None,
             partial_reply: PartialReply::default(),
             load_report_format,
-            max_buffered_value: MAX_BUFFERED_VALUE_BYTES,
         }
     }
 
@@ -158,9 +155,18 @@
         self.inbox.len()
     }
 
-    /// Sets the length of the longest value that is held as a whole before it is forwarded, in bytes.
-    pub(crate) fn set_max_buffered_value(&mut self, bytes: usize) {
-        self.max_buffered_value = bytes;
+    /// Returns how many bytes of the next row have not been received, if the row has begun to arrive, answers a client's statement, and
+    /// is forwarded only as a whole. Otherwise zero.
+    pub(crate) fn missing_row_bytes(&self) -> usize {
+        let awaits_row =
+            self.phase == Phase::Statement && self.partial_reply.stage == ReplyStage::Description;
+        if awaits_row { self.inbox.missing_row_bytes() } else { 0 }
+    }
+
+    /// Streams the next row, however short it is. The caller has to know that the rest of the reply will follow: a value of which a part
+    /// was forwarded cannot be replaced by an error.
+    pub(crate) fn stream_next_row(&mut self) {
+        self.partial_reply.streams_short_value = true;
     }
 
     /// Appends received bytes to the input.
@@ -200,9 +206,9 @@
         None
     }
 
-    /// Returns the length of the longest value that is held as a whole. A copy of a row has to be checked before it is forwarded.
+    /// Returns the length of the longest value that is held as a whole before it is forwarded.
     fn longest_buffered_value(&self) -> usize {
-        if self.phase == Phase::Statement { self.max_buffered_value } else { MAX_BUFFERED_VALUE_BYTES }
+        if self.partial_reply.streams_short_value { 0 } else { MAX_BUFFERED_VALUE_BYTES }
     }
 
     /// Whether a streamed value has begun and has not arrived in full.
--- a/proxy/src/pg/codec/inbox.rs
+++ b/proxy/src/pg/codec/inbox.rs
@@ -19,6 +19,8 @@
 const CLIENT_TAGS: &[u8] = b"QPBDECFSHdcfX";
 /// Tags of the messages that a database may send.
 const SERVER_TAGS: &[u8] = b"RSZTDCIENAKv";
+/// The tag of a row.
+const ROW_TAG: u8 = b'D';
 
 /// Whether the next message is a row whose value is too long to be buffered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,6 +119,14 @@
         self.missing_bytes(self.start, MAX_STARTUP_BYTES)
     }
 
+    /// Returns how many bytes of the next message have not arrived, if it is a row whose length is known; zero otherwise.
+    pub(crate) fn missing_row_bytes(&self) -> usize {
+        if self.unread().first() != Some(&ROW_TAG) {
+            return 0;
+        }
+        self.missing_bytes(self.start + 1, MAX_SERVER_MESSAGE_BYTES)
+    }
+
     /// Returns how many bytes of the message whose length field is at this position have not arrived; zero if the length is not
     /// known or not valid.
     fn missing_bytes(&self, length_field: usize, max_length: usize) -> usize {
@@ -133,7 +143,7 @@
         let Some(value) = read_length(header).and_then(|length| length.checked_sub(header_length)) else {
             return LongRowHeader::Absent;
         };
-        if *tag != b'D' || !(max_buffered + 1..=MAX_STREAMED_VALUE_BYTES).contains(&value) {
+        if *tag != ROW_TAG || !(max_buffered + 1..=MAX_STREAMED_VALUE_BYTES).contains(&value) {
             return LongRowHeader::Absent;
         }
         match header.get(LENGTH_BYTES..header_length) {
--- a/proxy/src/pg/codec/mod.rs
+++ b/proxy/src/pg/codec/mod.rs
@@ -4,12 +4,14 @@
 mod encode;
 mod error;
 mod inbox;
+mod reply_end;
 mod server;
 
 pub(crate) use client::{ClientMessage, Startup};
 pub(crate) use encode::Severity;
 pub(crate) use error::DecodeError;
 pub(crate) use inbox::{Inbox, LongRowHeader};
+pub(crate) use reply_end::has_complete_reply_end;
 pub(crate) use server::ServerMessage;
 
 /// The longest message of a client: a value of 64 KiB in hexadecimal digits, and the rest of the statement.
--- a/proxy/src/pg/partial_reply.rs
+++ b/proxy/src/pg/partial_reply.rs
@@ -36,6 +36,8 @@
     pub bytes: usize,
     /// The number of bytes of a streamed value that have not arrived.
     pub value_bytes_remaining: usize,
+    /// The value is streamed even if it is short enough to be buffered.
+    pub streams_short_value: bool,
     /// The value of the only row. `None`: there is no row, or its value is streamed.
     pub value: Option<Value>,
     pub error: Option<SqlState>,
--- a/proxy/tests/memory/main.rs
+++ b/proxy/tests/memory/main.rs
@@ -4,3 +4,4 @@
 mod configuration;
 mod crowds;
 mod rig;
+mod unfinished_answers;
