Answers with a forwarded value are neither cut at the deadline nor kept for ever

Cause: Pool::attempt_timed_out and Pool::close_expired asked whether bytes of the value were missing. Behind the last byte the first took the answer for one of which nothing was forwarded, and the second for one that is complete. Change: a reply has one state with one clock each (ForwardingProgress): the deadline until something is forwarded, then 10 s without a byte. Behind a whole value the client gets an error in place of a cut. Pool::read is split, since it had grown too long.

--- a/proxy/src/core/attempts.rs
+++ b/proxy/src/core/attempts.rs
@@ -1,6 +1,9 @@
 //! Attempts, from their start to the result that is reported to the router and to the observers.
 
-use super::{Answer, AttemptId, Command, Core, InFlightAttempt, MAX_CLOCK_SKEW_MICROS, RequestPayload};
+use super::{
+    Answer, AttemptId, Command, Core, InFlightAttempt, MAX_CLOCK_SKEW_MICROS, RequestPayload,
+    StreamedResponse,
+};
 use crate::observe::CoreEvent;
 use crate::reply::Reply;
 use birchreach::{
@@ -24,10 +27,10 @@
     pub(crate) fn response_started(&mut self, now: Micros, attempt: AttemptId, length: usize) -> bool {
         let AttemptId { request, number } = attempt;
         let pending = self.requests.get_mut(&request);
-        let Some(pending) = pending.filter(|pending| pending.streaming_attempt.is_none()) else {
+        let Some(pending) = pending.filter(|pending| pending.streamed_response.is_none()) else {
             return false;
         };
-        pending.streaming_attempt = Some(attempt);
+        pending.streamed_response = Some(StreamedResponse { attempt, remaining_bytes: length });
         let client = pending.client;
         self.commands.push_back(Command::BeginStream { client, request, attempt, length });
         if let Some(in_flight) = self.in_flight.get(&attempt) {
@@ -41,10 +44,11 @@
     /// is being streamed.
     pub(crate) fn response_chunk(&mut self, attempt: AttemptId, bytes: Vec<u8>) {
         let request = attempt.request;
-        let pending = self.requests.get(&request);
-        if let Some(pending) = pending.filter(|pending| pending.streaming_attempt == Some(attempt)) {
-            self.commands.push_back(Command::StreamChunk { client: pending.client, request, bytes });
-        }
+        let Some(pending) = self.requests.get_mut(&request) else { return };
+        let streamed = pending.streamed_response.as_mut().filter(|streamed| streamed.attempt == attempt);
+        let Some(streamed) = streamed else { return };
+        streamed.remaining_bytes = streamed.remaining_bytes.saturating_sub(bytes.len());
+        self.commands.push_back(Command::StreamChunk { client: pending.client, request, bytes });
     }
 
     /// Handles the result of an attempt. Each attempt has exactly one result.
@@ -85,16 +89,17 @@
         }
     }
 
-    /// Answers the request if the attempt served it. If the attempt failed while its response was being streamed, the stream is
-    /// aborted: a request whose response was streamed in part is not retried.
+    /// Answers the request if the attempt served it. A request whose response was streamed in part is not retried: an attempt that failed
+    /// within the value aborts the stream, and behind the value an error can still follow.
     fn answer_from_reply(&mut self, now: Micros, attempt: AttemptId, reply: Reply) {
         let request = attempt.request;
         let Some(pending) = self.requests.get(&request) else { return };
         let served = reply.outcome == AttemptOutcome::Ok;
-        match pending.streaming_attempt {
-            Some(streaming) if streaming == attempt && served => self.answer(now, request, Answer::Streamed),
-            Some(streaming) if streaming == attempt => self.abort_stream(now, request),
-            Some(_) => {}
+        match pending.streamed_response {
+            Some(streamed) if streamed.attempt != attempt => {}
+            Some(_) if served => self.answer(now, request, Answer::Streamed),
+            Some(streamed) if streamed.remaining_bytes == 0 => self.answer(now, request, Answer::Failed),
+            Some(_) => self.abort_stream(now, request),
             None => {
                 if let Some(value) = reply.value.filter(|_| served) {
                     self.answer(now, request, Answer::Served(value));
--- a/proxy/src/core/mod.rs
+++ b/proxy/src/core/mod.rs
@@ -49,8 +49,16 @@
     attempts_in_flight: u16,
     /// Time since which no attempt has been in flight. Meaningful only while no attempt is in flight.
     idle_since: Micros,
-    /// The attempt whose response is being streamed to the client.
-    streaming_attempt: Option<AttemptId>,
+    /// The response that is being streamed to the client.
+    streamed_response: Option<StreamedResponse>,
+}
+
+/// A response that is being streamed to the client of a request.
+#[derive(Clone, Copy)]
+struct StreamedResponse {
+    attempt: AttemptId,
+    /// Bytes of the value that have not been forwarded.
+    remaining_bytes: usize,
 }
 
 /// An attempt for whose result the router waits.
--- a/proxy/src/core/requests.rs
+++ b/proxy/src/core/requests.rs
@@ -34,7 +34,7 @@
             attempts_started: 0,
             attempts_in_flight: 0,
             idle_since: now,
-            streaming_attempt: None,
+            streamed_response: None,
         };
         self.requests.insert(id, pending);
         let request = Request {
--- a/proxy/src/net/pool/connection.rs
+++ b/proxy/src/net/pool/connection.rs
@@ -84,7 +84,7 @@
     pub follows_recent_reply: bool,
     /// The connection has completed a query.
     pub has_completed_query: bool,
-    /// When the last bytes of a streamed value arrived, or when reading it was last resumed.
+    /// When bytes last arrived, or when reading a streamed value was last resumed.
     pub last_progress_at: Micros,
     /// The reply waits in the socket for memory.
     pub reply_held: bool,
--- a/proxy/src/net/pool/expiry.rs
+++ b/proxy/src/net/pool/expiry.rs
@@ -7,10 +7,14 @@
 use super::close_reason::DatabaseCloseReason;
 use super::connection::{Connection, ConnectionTask, QueryProgress};
 use crate::core::AttemptId;
+use crate::pg::backend::ForwardingProgress;
 use crate::reply::Reply;
 use birchreach::{AttemptOutcome, Micros, ServerId};
 
-/// A database that sends no more of a streamed value for this time counts as failed.
+#[cfg(test)]
+mod tests;
+
+/// A database that sends no more of a reply for this time counts as failed, if a part of the reply was forwarded.
 const RESPONSE_STALL_TIMEOUT_MICROS: Micros = 10_000_000;
 
 impl Pool {
@@ -20,10 +24,10 @@
         self.abandon_attempt(context, attempt, AttemptOutcome::Cancelled, DatabaseCloseReason::Cancelled);
     }
 
-    /// Ends an attempt whose deadline has passed, unless its value is being streamed.
+    /// Ends an attempt whose deadline has passed, unless a part of its reply was forwarded. The stall timeout applies to that one.
     pub(crate) fn attempt_timed_out(&mut self, context: &mut EventLoopContext, attempt: AttemptId) {
         let Some(key) = self.attempt_connections.get(&attempt) else { return };
-        if !self.connections[*key].protocol.is_streaming() {
+        if self.connections[*key].protocol.forwarding_progress() == ForwardingProgress::NotBegun {
             self.abandon_attempt(context, attempt, AttemptOutcome::Timeout, DatabaseCloseReason::Timeout);
         }
     }
@@ -110,7 +114,7 @@
         self.check_held_replies(context);
         let now = context.now;
         let has_stalled = |connection: &Connection| {
-            connection.protocol.is_streaming()
+            connection.protocol.forwarding_progress() != ForwardingProgress::NotBegun
                 && !connection.reading_paused
                 && now - connection.last_progress_at >= RESPONSE_STALL_TIMEOUT_MICROS
         };
--- a/proxy/src/net/pool/held_replies/tests.rs
+++ b/proxy/src/net/pool/held_replies/tests.rs
@@ -1,10 +1,8 @@
 //! Replies of which a part has arrived while memory is short: nothing of them is forwarded before all of them is there.
 
-mod held_attempt;
-
+use super::super::test_attempt::{KEY, READS, TestAttempt, WRITES, end, row, value};
 use crate::core::Answer;
 use crate::memory::ConnectionCounts;
-use held_attempt::{HeldAttempt, KEY, READS, WRITES, end, row, value};
 use std::io::Write;
 
 /// The longest value that is forwarded as a whole.
@@ -14,7 +12,7 @@
 #[test]
 fn a_value_is_forwarded_once_its_whole_reply_is_there() {
     for length in VALUE_LENGTHS {
-        let mut held = HeldAttempt::start(READS);
+        let mut held = TestAttempt::start(READS);
         held.make_memory_short();
         let (row, end) = (row(&value(length)), end());
         // The header of the row comes in pieces, the value in three, and the end of the reply apart from it.
@@ -35,7 +33,7 @@
         let row = row(&value(length));
         for arrived in [row.len() / 2, row.len() - 1, row.len()] {
             for (class, error) in [(READS, None), (WRITES, Some(Answer::Failed))] {
-                let mut held = HeldAttempt::start(class);
+                let mut held = TestAttempt::start(class);
                 held.make_memory_short();
                 held.receive(&row[..arrived]);
                 held.time_out();
@@ -51,7 +49,7 @@
 #[test]
 fn a_shortage_that_begins_in_the_middle_of_a_value_does_not_forward_a_part_of_it() {
     let (row, end) = (row(&value(40 << 10)), end());
-    let mut held = HeldAttempt::start(READS);
+    let mut held = TestAttempt::start(READS);
     held.receive(&row[..row.len() / 2]);
     held.make_memory_short();
     held.receive(&row[row.len() / 2..row.len() - 1]);
@@ -64,7 +62,7 @@
 #[test]
 fn a_held_reply_is_read_when_the_shortage_ends() {
     let (row, end) = (row(&value(40 << 10)), end());
-    let mut held = HeldAttempt::start(READS);
+    let mut held = TestAttempt::start(READS);
     held.make_memory_short();
     held.receive(&row[..row.len() / 2]);
     assert!(held.fixture.pool.connections[KEY].reply_held);
@@ -79,7 +77,7 @@
 #[test]
 fn a_database_that_closes_in_a_held_reply_ends_the_attempt_at_once() {
     let row = row(&value(40 << 10));
-    let mut held = HeldAttempt::start(WRITES);
+    let mut held = TestAttempt::start(WRITES);
     held.make_memory_short();
     held.receive(&row[..row.len() / 2]);
     held.database.shutdown(std::net::Shutdown::Both).unwrap();
@@ -90,7 +88,7 @@
 
 #[test]
 fn a_whole_reply_of_a_database_that_has_closed_is_forwarded() {
-    let mut held = HeldAttempt::start(READS);
+    let mut held = TestAttempt::start(READS);
     held.make_memory_short();
     held.database.write_all(&[row(&value(40 << 10)), end()].concat()).unwrap();
     held.database.shutdown(std::net::Shutdown::Both).unwrap();
@@ -102,7 +100,7 @@
 #[test]
 fn a_longer_value_is_forwarded_as_it_comes() {
     let length = LONGEST_WHOLE_VALUE + 1;
-    let mut held = HeldAttempt::start(READS);
+    let mut held = TestAttempt::start(READS);
     held.make_memory_short();
     held.receive(&row(&value(length))[..100]);
     assert_eq!(held.streamed_length, Some(length));
@@ -112,7 +110,7 @@
 #[test]
 fn a_held_reply_outlasts_exhausted_memory() {
     let (row, end) = (row(&value(40 << 10)), end());
-    let mut held = HeldAttempt::start(READS);
+    let mut held = TestAttempt::start(READS);
     held.receive(&row[..row.len() / 2]);
     held.fixture.context.memory.configure(0, 1, ConnectionCounts::default());
     held.receive(&row[row.len() / 2..row.len() / 3 * 2]);
--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -16,6 +16,8 @@
 mod round_trip;
 mod socket_io;
 #[cfg(test)]
+mod test_attempt;
+#[cfg(test)]
 mod tests;
 
 use super::event_loop_context::EventLoopContext;
--- a/proxy/src/net/pool/responses.rs
+++ b/proxy/src/net/pool/responses.rs
@@ -6,7 +6,7 @@
 use super::close_reason::DatabaseCloseReason;
 use super::connection::ConnectionState;
 use super::reply_identity::ReplyIdentity;
-use crate::pg::backend::BackendEvent;
+use crate::pg::backend::{BackendEvent, ForwardingProgress};
 use crate::reply::Reply;
 use birchreach::AttemptOutcome;
 
@@ -79,7 +79,6 @@
         length: usize,
     ) -> ConnectionState {
         let connection = &mut self.connections[key];
-        connection.last_progress_at = context.now;
         connection.reply_was_streamed = true;
         // Only the statements of attempts are answered with streamed values.
         let Some(attempt) = connection.attempt() else { return ConnectionState::Closed };
@@ -100,8 +99,7 @@
     ) -> ConnectionState {
         let connection = &mut self.connections[key];
         // Memory use is bounded: the next chunk is read only after the client has taken this one.
-        connection.reading_paused = connection.protocol.is_streaming();
-        connection.last_progress_at = context.now;
+        connection.reading_paused = connection.protocol.forwarding_progress() == ForwardingProgress::InValue;
         if let Some(attempt) = connection.attempt() {
             context.core.response_chunk(attempt, bytes);
         }
--- a/proxy/src/net/pool/socket_io.rs
+++ b/proxy/src/net/pool/socket_io.rs
@@ -12,6 +12,14 @@
 use birchreach::AttemptOutcome;
 use std::io::ErrorKind;
 
+/// The result of reading a socket once.
+enum PieceRead {
+    /// A piece was read. More may have arrived.
+    MoreMayFollow,
+    AllRead,
+    ConnectionClosed,
+}
+
 impl Pool {
     /// Writes to and reads from a connection that the poll reported as ready. Ignores keys of closed connections.
     pub(crate) fn handle_ready(&mut self, context: &mut EventLoopContext, key: ConnectionKey) {
@@ -90,41 +98,60 @@
                     return ConnectionState::Closed;
                 }
             };
-            let connection = &mut self.connections[key];
-            let protocol = &mut connection.protocol;
-            // Reads one piece at a time: its events are handled before more is buffered.
-            let mut received = false;
-            let read = stream::read(&mut connection.stream, &mut context.scratch[..limit], |bytes| {
-                protocol.feed(bytes);
-                received = true;
-                false
-            });
-            if received && self.round_trips.reply_started(context, connection) {
-                // The bytes do not belong to the query, which may run if all of it was written.
-                let reply = Reply::with_outcome(AttemptOutcome::Error);
-                self.fail_connection(context, key, DatabaseCloseReason::UnexpectedData, reply);
-                return ConnectionState::Closed;
-            }
-            if self.handle_events(context, key) == ConnectionState::Closed {
-                return ConnectionState::Closed;
-            }
-            if self.holds_too_much(context, key) {
-                // The query may have run.
-                let reply = Reply::with_outcome(AttemptOutcome::Error);
-                self.fail_connection(context, key, DatabaseCloseReason::Memory, reply);
-                return ConnectionState::Closed;
+            match self.read_piece(context, key, limit) {
+                PieceRead::MoreMayFollow => {}
+                PieceRead::AllRead => return ConnectionState::Open,
+                PieceRead::ConnectionClosed => return ConnectionState::Closed,
             }
-            let reason = match read {
-                Ok(true) => return ConnectionState::Open,
-                Ok(false) => continue,
-                Err(StreamEnd::Closed) => DatabaseCloseReason::Closed,
-                Err(StreamEnd::Reset) => DatabaseCloseReason::Reset,
-            };
-            self.connection_ended(context, key, reason);
-            return ConnectionState::Closed;
         }
     }
 
+    /// Reads one piece of at most `limit` bytes and handles its events, before more is buffered. Closes the connection if it has ended or
+    /// can no longer be used.
+    fn read_piece(&mut self, context: &mut EventLoopContext, key: ConnectionKey, limit: usize) -> PieceRead {
+        let connection = &mut self.connections[key];
+        let protocol = &mut connection.protocol;
+        let mut received = false;
+        let read = stream::read(&mut connection.stream, &mut context.scratch[..limit], |bytes| {
+            protocol.feed(bytes);
+            received = true;
+            false
+        });
+        if received {
+            connection.last_progress_at = context.now;
+        }
+        if received && self.round_trips.reply_started(context, connection) {
+            // The bytes do not belong to the query, which may run if all of it was written.
+            return self.fail_after_read(context, key, DatabaseCloseReason::UnexpectedData);
+        }
+        if self.handle_events(context, key) == ConnectionState::Closed {
+            return PieceRead::ConnectionClosed;
+        }
+        if self.holds_too_much(context, key) {
+            // The query may have run.
+            return self.fail_after_read(context, key, DatabaseCloseReason::Memory);
+        }
+        let reason = match read {
+            Ok(true) => return PieceRead::AllRead,
+            Ok(false) => return PieceRead::MoreMayFollow,
+            Err(StreamEnd::Closed) => DatabaseCloseReason::Closed,
+            Err(StreamEnd::Reset) => DatabaseCloseReason::Reset,
+        };
+        self.connection_ended(context, key, reason);
+        PieceRead::ConnectionClosed
+    }
+
+    /// Closes a connection because of what it has sent.
+    fn fail_after_read(
+        &mut self,
+        context: &mut EventLoopContext,
+        key: ConnectionKey,
+        reason: DatabaseCloseReason,
+    ) -> PieceRead {
+        self.fail_connection(context, key, reason, Reply::with_outcome(AttemptOutcome::Error));
+        PieceRead::ConnectionClosed
+    }
+
     /// Returns whether memory is exhausted and the connection holds more input than what it is guaranteed. A row does not count: no more
     /// of it is read.
     fn holds_too_much(&self, context: &EventLoopContext, key: ConnectionKey) -> bool {
--- a/proxy/src/net/pool/held_replies/tests/held_attempt.rs
+++ b/proxy/src/net/pool/test_attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt whose database the test plays, in a process whose memory is short.
+//! One attempt whose database the test plays, for unit tests of replies.
 
 use crate::core::{Answer, AttemptId, ClientKey, Command, RoutingRequest};
 use crate::memory::{ConnectionCounts, allocated_bytes};
@@ -28,7 +28,7 @@
 static BALLAST: OnceLock<Vec<u8>> = OnceLock::new();
 
 /// The attempt, and what was forwarded to its client.
-pub(super) struct HeldAttempt {
+pub(super) struct TestAttempt {
     pub(super) fixture: Fixture,
     pub(super) database: TcpStream,
     attempt: AttemptId,
@@ -39,9 +39,9 @@
     pub(super) stream_aborted: bool,
 }
 
-impl HeldAttempt {
+impl TestAttempt {
     /// Sends a client's statement to the database.
-    pub(super) fn start(class: ClassId) -> HeldAttempt {
+    pub(super) fn start(class: ClassId) -> TestAttempt {
         let mut fixture = Fixture::new();
         fixture.context.scratch = vec![0; SCRATCH_BYTES];
         let text = match class {
@@ -80,7 +80,7 @@
         }
         let _ = database.read(&mut [0; 1024]).unwrap();
         database.set_nodelay(true).unwrap();
-        HeldAttempt {
+        TestAttempt {
             fixture,
             database,
             attempt: started.unwrap(),
@@ -140,6 +140,20 @@
         self.execute_commands();
     }
 
+    /// Lets time pass, and closes connections that have expired.
+    pub(super) fn pass_time(&mut self, micros: Micros) {
+        self.fixture.context.now += micros;
+        self.fixture.pool.close_expired(&mut self.fixture.context);
+        self.execute_commands();
+    }
+
+    /// Checks that a part of the value was forwarded, and that the request has no final answer.
+    pub(super) fn check_open(&self) {
+        assert!(!self.forwarded.is_empty());
+        assert_eq!(self.answer, None);
+        assert!(!self.stream_aborted);
+    }
+
     pub(super) fn check_nothing_forwarded(&self, what: &str) {
         assert_eq!(self.streamed_length, None, "{what}");
         assert_eq!(self.answer, None, "{what}");
--- a/proxy/src/pg/backend/mod.rs
+++ b/proxy/src/pg/backend/mod.rs
@@ -1,6 +1,7 @@
 //! Protocol state machine of a database connection. It takes the bytes that the database sends, and reports when the connection
 //! is established and the reply to each query.
 
+mod event;
 mod long_statement;
 mod messages;
 
@@ -12,6 +13,7 @@
 use crate::outbox::{BUFFER_STEP_BYTES, Outbox};
 use crate::reply::Reply;
 use birchreach::Micros;
+pub(crate) use event::{BackendEvent, ForwardingProgress};
 use long_statement::LongStatement;
 use std::rc::Rc;
 
@@ -56,23 +58,6 @@
     }
 }
 
-/// An event on a database connection.
-#[derive(Debug, PartialEq)]
-pub(crate) enum BackendEvent {
-    /// The startup is complete. The first query may be sent.
-    Ready,
-    /// A streamed value of this length in bytes begins. `ValueChunk` events with its bytes follow, and then `QueryCompleted`.
-    ValueStarted(usize),
-    /// The next bytes of a streamed value.
-    ValueChunk(Vec<u8>),
-    /// The complete reply to the query in flight. It has no value if the value was streamed.
-    QueryCompleted(Reply),
-    /// The database answered the startup message with an error. The connection can no longer be used.
-    Rejected(Reply),
-    /// The database violated the protocol. The connection can no longer be used.
-    ProtocolError,
-}
-
 /// The state of the protocol on one connection.
 pub(crate) struct Backend {
     phase: Phase,
@@ -178,7 +163,7 @@
     /// used.
     pub(crate) fn next_event(&mut self) -> Option<BackendEvent> {
         while self.phase != Phase::Closed {
-            if self.is_streaming() {
+            if self.forwarding_progress() == ForwardingProgress::InValue {
                 return self.next_value_chunk();
             }
             if self.phase.serves_client() && self.partial_reply.stage == ReplyStage::Description {
@@ -211,9 +196,13 @@
         if self.partial_reply.streams_short_value { 0 } else { MAX_BUFFERED_VALUE_BYTES }
     }
 
-    /// Whether a streamed value has begun and has not arrived in full.
-    pub(crate) fn is_streaming(&self) -> bool {
-        self.partial_reply.value_bytes_remaining > 0
+    /// Returns how much of the reply in flight has been forwarded.
+    pub(crate) fn forwarding_progress(&self) -> ForwardingProgress {
+        match (self.partial_reply.value_streamed, self.partial_reply.value_bytes_remaining) {
+            (false, _) => ForwardingProgress::NotBegun,
+            (true, 0) => ForwardingProgress::AwaitingEnd,
+            (true, _) => ForwardingProgress::InValue,
+        }
     }
 
     /// Whether the next query may be sent: no query is in flight, and no unexpected input has arrived.
@@ -230,6 +219,7 @@
 
     /// Starts streaming a value that is too long to be buffered.
     fn start_streamed_value(&mut self, length: usize) -> BackendEvent {
+        self.partial_reply.value_streamed = true;
         self.partial_reply.value_bytes_remaining = length;
         self.partial_reply.stage = ReplyStage::Row;
         BackendEvent::ValueStarted(length)
--- a/proxy/src/pg/partial_reply.rs
+++ b/proxy/src/pg/partial_reply.rs
@@ -34,6 +34,8 @@
     pub stage: ReplyStage,
     /// The total size of the messages that have arrived for the reply, not counting a streamed value.
     pub bytes: usize,
+    /// The value is streamed: at least its header was forwarded.
+    pub value_streamed: bool,
     /// The number of bytes of a streamed value that have not arrived.
     pub value_bytes_remaining: usize,
     /// The value is streamed even if it is short enough to be buffered.
--- a/proxy/tests/slow_databases.rs
+++ b/proxy/tests/slow_databases.rs
@@ -10,6 +10,8 @@
 
 /// Half of the digits of a value that is too long to be buffered.
 const VALUE_BYTES: usize = 64_000;
+/// The bytes of an answer in front of its value: the description and the header of the row.
+const ANSWER_HEAD_BYTES: usize = 41;
 /// SIGKILL may come as early as this after SIGTERM.
 const KILL_AFTER_TERM: Duration = Duration::from_millis(3700);
 /// By the platform's rules an answer that comes later than this after its time is lost.
@@ -58,6 +60,14 @@
     slow.check_whole_answer();
 }
 
+/// Guards against a value that is cut off because its deadline passes between its last byte and the end of the answer.
+#[test]
+fn an_answer_whose_end_comes_after_the_deadline_arrives_whole() {
+    let mut slow = start("late_end", [127, 88, 208, 1]);
+    slow.set_answer_pace(ANSWER_HEAD_BYTES + 2 * VALUE_BYTES + 2, 3000);
+    slow.check_whole_answer();
+}
+
 #[test]
 fn an_answer_that_a_database_writes_slowly_arrives_whole_while_the_process_stops() {
     let mut slow = start("slow_answer_stopping", [127, 88, 216, 1]);
