A response that arrives while memory is short frees its database's concurrency limit

Cause: values that wait for their end are no longer streamed, so Event::ResponseStarted, which takes an attempt off the concurrency limit, came only when all was there. Change: the first part of a row that waits is reported on its own (Event::ResponseArriving): the attempt no longer counts, the request keeps its deadline and its other attempts. Without a shortage of memory nothing is reported and nothing changes.

--- a/proxy/src/core/attempts.rs
+++ b/proxy/src/core/attempts.rs
@@ -22,6 +22,13 @@
         self.router.may_still_send(now, attempt.request, attempt.number)
     }
 
+    /// Handles the first bytes of a response that is not forwarded before all of it has arrived.
+    pub(crate) fn response_arriving(&mut self, now: Micros, attempt: AttemptId) {
+        let Some(in_flight) = self.in_flight.get(&attempt) else { return };
+        self.observers.notify(now, CoreEvent::ServerAlive { server: in_flight.server });
+        self.handle(now, Event::ResponseArriving { request: attempt.request, attempt: attempt.number });
+    }
+
     /// Handles the start of a long response. Returns false if the request is no longer pending, or if the response of another
     /// attempt is already being streamed.
     pub(crate) fn response_started(&mut self, now: Micros, attempt: AttemptId, length: usize) -> bool {
--- a/proxy/src/net/pool/connection.rs
+++ b/proxy/src/net/pool/connection.rs
@@ -86,6 +86,8 @@
     pub has_completed_query: bool,
     /// When bytes last arrived, or when reading a streamed value was last resumed.
     pub last_progress_at: Micros,
+    /// The core knows that the reply to the latest query has begun to arrive.
+    pub arrival_reported: bool,
     /// The reply waits in the socket for memory.
     pub reply_held: bool,
     /// The receive buffer of the socket was enlarged for replies that wait in it.
@@ -124,6 +126,7 @@
             follows_recent_reply: false,
             has_completed_query: false,
             last_progress_at: now,
+            arrival_reported: false,
             reply_held: false,
             has_large_receive_buffer: false,
             reading_paused: false,
@@ -136,6 +139,7 @@
         self.reply_delay = None;
         self.is_delay_measured = false;
         self.reply_was_streamed = false;
+        self.arrival_reported = false;
         self.follows_recent_reply = self.has_completed_query && now - self.idle_since < settling_time;
     }
 
--- a/proxy/src/net/pool/held_replies.rs
+++ b/proxy/src/net/pool/held_replies.rs
@@ -47,11 +47,12 @@
         if !context.memory.is_under_pressure() {
             return ReadPermission::Bytes(limit);
         }
-        let connection = &mut self.connections[key];
-        let missing = connection.protocol.missing_row_bytes();
+        let missing = self.connections[key].protocol.missing_row_bytes();
         if missing == 0 {
             return ReadPermission::Bytes(limit);
         }
+        self.report_arrival(context, key);
+        let connection = &mut self.connections[key];
         let guaranteed = context.memory.guaranteed_database_input();
         let allowed = guaranteed.saturating_sub(connection.protocol.unread_bytes());
         if allowed > 0 {
@@ -70,6 +71,17 @@
         }
     }
 
+    /// Reports once that a reply has begun to arrive, so that the time until all of it is there does not count against the server's
+    /// concurrency limit.
+    fn report_arrival(&mut self, context: &mut EventLoopContext, key: ConnectionKey) {
+        let connection = &mut self.connections[key];
+        if let Some(attempt) = connection.attempt()
+            && !std::mem::replace(&mut connection.arrival_reported, true)
+        {
+            context.core.response_arriving(context.now, attempt);
+        }
+    }
+
     /// Remembers that a connection has to be read again, since the poll may not report it another time.
     pub(super) fn hold_reply(&mut self, key: ConnectionKey) {
         let connection = &mut self.connections[key];
--- a/proxy/src/net/pool/held_replies/tests.rs
+++ b/proxy/src/net/pool/held_replies/tests.rs
@@ -66,6 +66,7 @@
     held.make_memory_short();
     held.receive(&row[..row.len() / 2]);
     assert!(held.fixture.pool.connections[KEY].reply_held);
+    assert!(held.fixture.pool.connections[KEY].arrival_reported, "the attempt does not count any more");
     held.end_shortage();
     held.serve();
     assert!(!held.fixture.pool.connections[KEY].reply_held);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,9 +4,11 @@
 //! A log position is also an instant: the time up to which a server has applied every commit.
 
 mod events;
+mod results;
 mod settings;
 
 pub use events::*;
+pub use results::*;
 pub use settings::*;
 
 /// A time span, or an instant on the caller's clock, in microseconds.
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -83,20 +83,29 @@
         self.in_flight.get(&key)
     }
 
+    /// Handles the first bytes of a response of which nothing is forwarded yet. The server has done its work,
+    /// so the attempt no longer counts against the concurrency limit. The request keeps its deadline.
+    pub(super) fn on_response_arriving(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.in_flight.get_mut(&key) else { return };
+        let was_released = std::mem::replace(&mut attempt.released, true);
+        let Some(server) = self.servers.get_mut(&attempt.server) else { return };
+        if !was_released {
+            server.concurrency.attempt_released();
+        }
+        server.outlier.record_sign_of_life(self.now);
+    }
+
     /// Handles the start of a response that is forwarded to the client. The request no longer has a deadline,
     /// its other attempts are cancelled, and the attempt no longer counts against the concurrency limit.
     pub(super) fn on_response_started(&mut self, key: AttemptKey, actions: &mut Vec<Action>) {
+        if !self.pending.contains_key(&key.request) {
+            return;
+        }
+        self.on_response_arriving(key);
         let Some(request) = self.pending.get(&key.request) else { return };
         let Some(attempt) = self.in_flight.get_mut(&key) else { return };
         self.wakeups.cancel(key.request, request.next_wakeup);
         attempt.response_started_at = Some(self.now);
-        let was_released = std::mem::replace(&mut attempt.released, true);
-        if let Some(server) = self.servers.get_mut(&attempt.server) {
-            if !was_released {
-                server.concurrency.attempt_released();
-            }
-            server.outlier.record_sign_of_life(self.now);
-        }
         if self.settings.cancellation_allowed {
             let others = request.in_flight_attempts.iter().filter(|attempt| **attempt != key.attempt);
             actions.extend(others.map(|attempt| Action::Cancel { request: key.request, attempt: *attempt }));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -139,6 +139,9 @@
             Event::EndpointsChanged(list) => self.apply_endpoint_list(list),
             Event::EndpointPollFailed => self.on_endpoint_poll_failed(),
             Event::Request(request) => self.on_request(request, actions),
+            Event::ResponseArriving { request, attempt } => {
+                self.on_response_arriving(AttemptKey { request, attempt })
+            }
             Event::ResponseStarted { request, attempt } => {
                 self.on_response_started(AttemptKey { request, attempt }, actions)
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -164,3 +164,12 @@
 pub(crate) fn copy_candidate(server: u32, likely_position: Micros) -> CopyCandidate {
     CopyCandidate { server: ServerId(server), likely_position }
 }
+
+/// The number of final responses that the router has sent to a request.
+pub(crate) fn final_response_count(fixture: &RouterFixture, id: u64) -> usize {
+    let is_final_response = |action: &Action| match action {
+        Action::Reject { request, .. } | Action::Fail { request } => request.0 == id,
+        _ => false,
+    };
+    fixture.history.iter().filter(|timed| is_final_response(&timed.action)).count()
+}
--- a/tests/overdue_attempts.rs
+++ b/tests/overdue_attempts.rs
@@ -56,6 +56,29 @@
     assert_eq!(sent, 3);
 }
 
+/// Guards against databases that are left idle although they only have to transfer their responses, and
+/// against requests that lose their deadline before anything is forwarded.
+#[test]
+fn an_arriving_response_does_not_count_against_the_concurrency_limit_and_keeps_its_deadline() {
+    // Given a primary at its concurrency limit
+    let mut fixture = RouterFixture::new(settings());
+    let mut writes = Vec::new();
+    for _ in 0..4 {
+        writes.push(fixture.request(WRITE));
+        fixture.advance(2 * MILLISECOND);
+    }
+    assert!(fixture.request(WRITE).servers().is_empty(), "the initial concurrency limit is reached");
+    // When the responses to the writes begin to arrive, then the primary gets a further write
+    for write in &writes {
+        let (request, attempt) = (RequestId(write.id), AttemptNumber(0));
+        fixture.handle(Event::ResponseArriving { request, attempt });
+    }
+    assert_eq!(fixture.request(WRITE).servers(), [PRIMARY]);
+    // And each of the writes gets its final response at its deadline
+    fixture.advance(60_000 * MILLISECOND);
+    assert!(writes.iter().all(|write| final_response_count(&fixture, write.id) == 1));
+}
+
 /// Guards against cancelling a slow attempt whose server is alive: its retry would start from the beginning
 /// and end too late.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,15 +5,6 @@
 use birchreach::*;
 use common::*;
 
-/// The number of final responses that the router has sent to a request.
-fn final_response_count(fixture: &RouterFixture, id: u64) -> usize {
-    let is_final_response = |action: &Action| match action {
-        Action::Reject { request, .. } | Action::Fail { request } => request.0 == id,
-        _ => false,
-    };
-    fixture.history.iter().filter(|timed| is_final_response(&timed.action)).count()
-}
-
 /// The number of attempts that the router has sent.
 fn send_count(fixture: &RouterFixture) -> usize {
     fixture.history.iter().filter(|timed| matches!(timed.action, Action::Send { .. })).count()
@@ -148,6 +139,7 @@
     fixture.complete_attempt(77, 3, REPLICA_1, AttemptOutcome::Ok);
     fixture.complete_attempt(77, 3, 999, AttemptOutcome::Error);
     fixture.handle(Event::ClientDisconnected { request: RequestId(5_000) });
+    fixture.handle(Event::ResponseArriving { request: RequestId(5_000), attempt: AttemptNumber(0) });
     fixture.handle(Event::ResponseStarted { request: RequestId(5_000), attempt: AttemptNumber(0) });
     fixture.handle(Event::Timer { id: 12 });
     fixture.complete_health_check(999, AttemptOutcome::Timeout);
