A copy that is too long to be checked is not forwarded

It needs hot keys, which are off by default, and a database that answers with more than the proxy ever copies (16 KiB). Change: only the value of a client's own statement is streamed; the attempt fails and the read is retried elsewhere. Result: the new test failed with ValueStarted(102400) before; the unit tests of the proxy pass.

--- a/proxy/src/pg/backend/mod.rs
+++ b/proxy/src/pg/backend/mod.rs
@@ -166,7 +166,7 @@
             if self.forwarding_progress() == ForwardingProgress::InValue {
                 return self.next_value_chunk();
             }
-            if self.phase.serves_client() && self.partial_reply.stage == ReplyStage::Description {
+            if self.phase == Phase::Statement && self.partial_reply.stage == ReplyStage::Description {
                 match self.inbox.take_long_row_header(self.longest_buffered_value()) {
                     LongRowHeader::Absent => {}
                     LongRowHeader::Incomplete => return None,
--- a/proxy/src/pg/tests/copies.rs
+++ b/proxy/src/pg/tests/copies.rs
@@ -1,7 +1,9 @@
 //! Statements that read and write copies, and the parsing of replies to reads.
 
 use crate::background_query::BackgroundStatementId;
+use crate::pg::backend::{Backend, BackendEvent};
 use crate::pg::copies::{parse_copy, read_copy, read_row, write_copy};
+use crate::pg::load_report::LoadReportFormat;
 use crate::pg::statement::Statement;
 use crate::reply::{Reply, Value};
 use birchreach::{AttemptOutcome, GroupId, Micros};
@@ -71,3 +73,21 @@
     }
     assert_eq!(parse_copy(None, 0, miss()).outcome, AttemptOutcome::Ineligible);
 }
+
+/// Guards against a reply to a read of a copy that is forwarded before its position is checked, and then cut off.
+#[test]
+fn a_copy_that_is_too_long_to_be_checked_is_not_forwarded() {
+    // Given a read of a copy that was sent
+    let mut backend = Backend::new(LoadReportFormat::default());
+    backend.feed(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I");
+    assert_eq!(backend.next_event(), Some(BackendEvent::Ready));
+    backend.send_copy_read(&client_read(), 95, 0);
+    // When a row of 100 KiB begins to arrive
+    let column = [&[0, 1][..], b"blob\0", &[0; 16], &[0, 1]].concat();
+    backend.feed(&[b"T", &(4 + column.len() as u32).to_be_bytes()[..], &column].concat());
+    let value_length = 100_u32 << 10;
+    let header = [&(value_length + 10).to_be_bytes()[..], &[0, 1], &value_length.to_be_bytes()].concat();
+    backend.feed(&[b"D", &header[..], b"value"].concat());
+    // Then the attempt fails, so that the read is retried elsewhere
+    assert_eq!(backend.next_event(), Some(BackendEvent::ProtocolError));
+}
