--- a/proxy/src/memory/report.rs
+++ b/proxy/src/memory/report.rs
@@ -22,7 +22,7 @@
     pub clients: HeldBytes,
     pub databases: HeldBytes,
     /// Connections to databases whose replies wait in their sockets.
-    pub held_replies: usize,
+    pub deferred_replies: usize,
     /// Timers that are set, including those that no longer apply.
     pub timers: usize,
 }
@@ -43,7 +43,7 @@
         line("client_statements", self.clients.statements);
         line("database_input", self.databases.input);
         line("database_output", self.databases.output);
-        line("held_replies", self.held_replies);
+        line("deferred_replies", self.deferred_replies);
         line("timers", self.timers);
         text
     }
--- a/proxy/src/net/admin_calls.rs
+++ b/proxy/src/net/admin_calls.rs
@@ -53,7 +53,7 @@
             limit: self.config.memory_limit,
             clients: self.clients.held_bytes(),
             databases: self.pool.held_bytes(),
-            held_replies: self.pool.held_reply_count(),
+            deferred_replies: self.pool.deferred_reply_count(),
             timers: self.context.timers.len(),
         }
     }
--- a/proxy/src/net/pool/connection.rs
+++ b/proxy/src/net/pool/connection.rs
@@ -89,7 +89,7 @@
     /// The core knows that the reply to the latest query has begun to arrive.
     pub arrival_reported: bool,
     /// The reply waits in the socket for memory.
-    pub reply_held: bool,
+    pub reply_deferred: bool,
     /// The receive buffer of the socket was enlarged for replies that wait in it.
     pub has_large_receive_buffer: bool,
     /// Reading is paused until the client has taken the bytes of a streamed value that were forwarded to it.
@@ -127,7 +127,7 @@
             has_completed_query: false,
             last_progress_at: now,
             arrival_reported: false,
-            reply_held: false,
+            reply_deferred: false,
             has_large_receive_buffer: false,
             reading_paused: false,
         }
--- a/proxy/src/net/pool/held_replies.rs
+++ b/proxy/src/net/pool/deferred_replies.rs
@@ -1,8 +1,8 @@
 //! Replies that wait in their sockets while memory is short.
 //!
-//! A value of up to 64 KiB is forwarded only if the whole reply has arrived, so that a reply which does not arrive in time can still be
+//! A value of up to 64 KiB is forwarded only if the complete reply has arrived, so that a reply which does not arrive in time can still be
 //! replaced by an error. If there is no memory for the value, its connection stops reading: the rest arrives in the receive buffer of the
-//! socket, which belongs to the kernel. Once the whole reply is there, it is forwarded in small pieces, and the database can no longer
+//! socket, which belongs to the kernel. Once the complete reply is there, it is forwarded in small pieces, and the database can no longer
 //! delay it. Until then the attempt has its deadline, and can be cancelled and retried like any other. No reply needs memory that
 //! another one holds, so replies never wait for each other.
 
@@ -19,25 +19,28 @@
 use crate::pg::codec::{MAX_SERVER_MESSAGE_BYTES, has_complete_reply_end};
 use std::collections::VecDeque;
 
+/// The longest end of a reply that is recognized in a socket, in bytes.
+const MAX_REPLY_END_BYTES: usize = 4 << 10;
+
 /// What may be done with the input of a connection now.
 pub(super) enum ReadPermission {
     /// Up to this many bytes may be read.
     Bytes(usize),
     /// There is no memory for the next row, and its reply has not arrived in full.
-    Hold,
+    Defer,
     /// The database has closed the connection before the end of the reply, which therefore never arrives.
     Ended(DatabaseCloseReason),
 }
 
-/// The connections whose replies are held.
+/// The connections whose replies are deferred.
 #[derive(Default)]
-pub(super) struct HeldReplies {
+pub(super) struct DeferredReplies {
     /// The connection that has waited longest comes first. An entry may belong to a connection that has been closed.
     waiting: VecDeque<(ConnectionKey, ConnectionSerial)>,
 }
 
 impl Pool {
-    /// Decides how much may be read from a connection. Arranges that the next row is streamed if its whole reply has arrived.
+    /// Decides how much may be read from a connection. Arranges that the next row is streamed if its complete reply has arrived.
     pub(super) fn read_permission(
         &mut self,
         context: &mut EventLoopContext,
@@ -47,17 +50,18 @@
         if !context.memory.is_under_pressure() {
             return ReadPermission::Bytes(limit);
         }
-        let missing = self.connections[key].protocol.missing_row_bytes();
-        if missing == 0 {
+        let protocol = &self.connections[key].protocol;
+        let missing = protocol.missing_row_bytes();
+        let row_bytes = protocol.unread_bytes() + missing;
+        if missing == 0 || row_bytes <= context.memory.guaranteed_database_input() {
             return ReadPermission::Bytes(limit);
         }
         self.report_arrival(context, key);
-        let connection = &mut self.connections[key];
-        let guaranteed = context.memory.guaranteed_database_input();
-        let allowed = guaranteed.saturating_sub(connection.protocol.unread_bytes());
-        if allowed > 0 {
-            return ReadPermission::Bytes(limit.min(allowed));
+        let visible = context.scratch.len().saturating_sub(MAX_REPLY_END_BYTES);
+        if missing > visible {
+            return ReadPermission::Bytes(limit.min(missing - visible));
         }
+        let connection = &mut self.connections[key];
         // Read before the receive buffer, since nothing arrives after the end.
         let peer = stream::peer_state(&connection.stream);
         if connection.has_reply_in_socket(missing, &mut context.scratch) {
@@ -65,7 +69,7 @@
             return ReadPermission::Bytes(limit);
         }
         match peer {
-            PeerState::Open => ReadPermission::Hold,
+            PeerState::Open => ReadPermission::Defer,
             PeerState::Closed => ReadPermission::Ended(DatabaseCloseReason::Closed),
             PeerState::Failed => ReadPermission::Ended(DatabaseCloseReason::Reset),
         }
@@ -83,46 +87,46 @@
     }
 
     /// Remembers that a connection has to be read again, since the poll may not report it another time.
-    pub(super) fn hold_reply(&mut self, key: ConnectionKey) {
+    pub(super) fn defer_reply(&mut self, key: ConnectionKey) {
         let connection = &mut self.connections[key];
-        if !std::mem::replace(&mut connection.reply_held, true) {
-            self.held_replies.waiting.push_back((key, connection.serial));
+        if !std::mem::replace(&mut connection.reply_deferred, true) {
+            self.deferred_replies.waiting.push_back((key, connection.serial));
         }
     }
 
-    /// Returns whether replies are held although there is memory for them.
-    pub(crate) fn can_continue_held_replies(&self, memory: &MemoryBudget) -> bool {
-        !self.held_replies.waiting.is_empty() && !memory.is_under_pressure()
+    /// Returns whether replies are deferred although there is memory for them.
+    pub(crate) fn can_continue_deferred_replies(&self, memory: &MemoryBudget) -> bool {
+        !self.deferred_replies.waiting.is_empty() && !memory.is_under_pressure()
     }
 
-    /// Reads replies that were held for a lack of memory, as long as there is some.
-    pub(crate) fn continue_held_replies(&mut self, context: &mut EventLoopContext) {
-        for _ in 0..self.held_replies.waiting.len() {
-            if !self.can_continue_held_replies(&context.memory) {
+    /// Reads replies that were deferred for a lack of memory, as long as there is some.
+    pub(crate) fn continue_deferred_replies(&mut self, context: &mut EventLoopContext) {
+        for _ in 0..self.deferred_replies.waiting.len() {
+            if !self.can_continue_deferred_replies(&context.memory) {
                 return;
             }
-            self.read_next_held_reply(context);
+            self.read_next_deferred_reply(context);
         }
     }
 
-    /// Looks at all held replies again, in case that an earlier look at a socket failed.
-    pub(super) fn check_held_replies(&mut self, context: &mut EventLoopContext) {
-        for _ in 0..self.held_replies.waiting.len() {
-            self.read_next_held_reply(context);
+    /// Looks at all deferred replies again, in case that an earlier look at a socket failed.
+    pub(super) fn check_deferred_replies(&mut self, context: &mut EventLoopContext) {
+        for _ in 0..self.deferred_replies.waiting.len() {
+            self.read_next_deferred_reply(context);
         }
     }
 
-    fn read_next_held_reply(&mut self, context: &mut EventLoopContext) {
-        let Some((key, serial)) = self.held_replies.waiting.pop_front() else { return };
+    fn read_next_deferred_reply(&mut self, context: &mut EventLoopContext) {
+        let Some((key, serial)) = self.deferred_replies.waiting.pop_front() else { return };
         let is_same = |connection: &&mut Connection| connection.serial == serial;
         let Some(connection) = self.connections.get_mut(key).filter(is_same) else { return };
-        connection.reply_held = false;
+        connection.reply_deferred = false;
         self.read(context, key);
     }
 
     /// Returns the number of connections whose replies wait for memory.
-    pub(crate) fn held_reply_count(&self) -> usize {
-        self.connections.iter().filter(|(_, connection)| connection.reply_held).count()
+    pub(crate) fn deferred_reply_count(&self) -> usize {
+        self.connections.iter().filter(|(_, connection)| connection.reply_deferred).count()
     }
 }
 
--- a/proxy/src/net/pool/expiry.rs
+++ b/proxy/src/net/pool/expiry.rs
@@ -27,7 +27,7 @@
     /// Ends an attempt whose deadline has passed, unless a part of its reply was forwarded. The stall timeout applies to that one.
     pub(crate) fn attempt_timed_out(&mut self, context: &mut EventLoopContext, attempt: AttemptId) {
         let Some(key) = self.attempt_connections.get(&attempt) else { return };
-        if self.connections[*key].protocol.forwarding_progress() == ForwardingProgress::NotBegun {
+        if self.connections[*key].protocol.forwarding_progress() == ForwardingProgress::NotStarted {
             self.abandon_attempt(context, attempt, AttemptOutcome::Timeout, DatabaseCloseReason::Timeout);
         }
     }
@@ -111,10 +111,10 @@
 
     /// Closes connections whose response has stalled, and those that have been idle for the idle timeout.
     pub(crate) fn close_expired(&mut self, context: &mut EventLoopContext) {
-        self.check_held_replies(context);
+        self.check_deferred_replies(context);
         let now = context.now;
         let has_stalled = |connection: &Connection| {
-            connection.protocol.forwarding_progress() != ForwardingProgress::NotBegun
+            connection.protocol.forwarding_progress() != ForwardingProgress::NotStarted
                 && !connection.reading_paused
                 && now - connection.last_progress_at >= RESPONSE_STALL_TIMEOUT_MICROS
         };
--- a/proxy/src/net/pool/mod.rs
+++ b/proxy/src/net/pool/mod.rs
@@ -6,9 +6,9 @@
 mod closing;
 mod connection;
 mod connection_table;
+mod deferred_replies;
 mod dispatch;
 mod expiry;
-mod held_replies;
 mod opening;
 mod query;
 mod reply_identity;
@@ -32,7 +32,7 @@
 use birchreach_settings::DeploymentSettings;
 use connection::{AttemptTask, ConnectionTask};
 use connection_table::ConnectionTable;
-use held_replies::HeldReplies;
+use deferred_replies::DeferredReplies;
 use round_trip::RoundTrips;
 use rustc_hash::FxHashMap;
 
@@ -49,7 +49,7 @@
     /// The connection of each attempt that has not completed.
     attempt_connections: FxHashMap<AttemptId, ConnectionKey>,
     round_trips: RoundTrips,
-    held_replies: HeldReplies,
+    deferred_replies: DeferredReplies,
     max_connections: usize,
     /// The system had no free descriptor, and no connection was idle that could be closed.
     descriptors_exhausted: bool,
@@ -73,7 +73,7 @@
             idle: FxHashMap::default(),
             attempt_connections: FxHashMap::default(),
             round_trips: RoundTrips::default(),
-            held_replies: HeldReplies::default(),
+            deferred_replies: DeferredReplies::default(),
             max_connections,
             descriptors_exhausted: false,
             last_connection: ConnectionSerial::default(),
--- a/proxy/src/net/pool/socket_io.rs
+++ b/proxy/src/net/pool/socket_io.rs
@@ -6,7 +6,7 @@
 use super::Pool;
 use super::close_reason::DatabaseCloseReason;
 use super::connection::{ConnectionState, ConnectionTask, QueryProgress};
-use super::held_replies::ReadPermission;
+use super::deferred_replies::ReadPermission;
 use crate::core::AttemptId;
 use crate::reply::Reply;
 use birchreach::AttemptOutcome;
@@ -89,8 +89,8 @@
             }
             let limit = match self.read_permission(context, key) {
                 ReadPermission::Bytes(limit) => limit,
-                ReadPermission::Hold => {
-                    self.hold_reply(key);
+                ReadPermission::Defer => {
+                    self.defer_reply(key);
                     return ConnectionState::Open;
                 }
                 ReadPermission::Ended(reason) => {
--- a/proxy/src/net/run_once.rs
+++ b/proxy/src/net/run_once.rs
@@ -81,7 +81,7 @@
     /// Returns whether work is left over from the last turn. The poll does not report such work again.
     fn has_unfinished_work(&self, now: Micros) -> bool {
         self.clients.has_pending_work(&self.context.memory)
-            || self.pool.can_continue_held_replies(&self.context.memory)
+            || self.pool.can_continue_deferred_replies(&self.context.memory)
             || self.admin.has_pending_work()
             || self.checks.has_pending_work(now)
     }
@@ -204,7 +204,7 @@
     /// connection to a database or to discovery.
     fn continue_connections(&mut self) {
         self.clients.continue_pending_work(&mut self.context);
-        self.pool.continue_held_replies(&mut self.context);
+        self.pool.continue_deferred_replies(&mut self.context);
         if self.pool.take_descriptors_exhausted() {
             self.clients.shed_to_free_descriptor(&mut self.context);
         }
--- a/proxy/src/net/stream.rs
+++ b/proxy/src/net/stream.rs
@@ -100,22 +100,22 @@
     }
 }
 
-/// Makes the system keep at least this many received bytes, as far as its limits allow. The buffer can still grow.
+/// Makes the system keep at least this many received bytes, as far as its limits allow. The buffer can still grow. Without effect if the
+/// system refuses.
 pub(super) fn enlarge_receive_buffer(stream: &impl AsRawFd, bytes: usize) {
     // The system makes the buffer large enough for the bytes that the reader waits for, and keeps the size after that.
     let minimum_sizes = [libc::c_int::try_from(bytes).unwrap_or(libc::c_int::MAX), 1];
     for size in minimum_sizes {
         // SAFETY: the descriptor is open, and the option's value is an int at a valid address.
-        let result = unsafe {
+        unsafe {
             libc::setsockopt(
                 stream.as_raw_fd(),
                 libc::SOL_SOCKET,
                 libc::SO_RCVLOWAT,
                 (&raw const size).cast(),
                 size_of::<libc::c_int>() as libc::socklen_t,
-            )
-        };
-        debug_assert!(result == 0, "the option is valid for each socket");
+            );
+        }
     }
 }
 
--- a/proxy/src/pg/backend/event.rs
+++ b/proxy/src/pg/backend/event.rs
@@ -24,9 +24,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ForwardingProgress {
     /// Nothing was forwarded.
-    NotBegun,
+    NotStarted,
     /// The header of the value was forwarded, and the value has not arrived in full.
     InValue,
-    /// The whole value has arrived, and the end of the reply has not.
+    /// The complete value has arrived, and the end of the reply has not.
     AwaitingEnd,
 }
--- a/proxy/src/pg/backend/mod.rs
+++ b/proxy/src/pg/backend/mod.rs
@@ -199,7 +199,7 @@
     /// Returns how much of the reply in flight has been forwarded.
     pub(crate) fn forwarding_progress(&self) -> ForwardingProgress {
         match (self.partial_reply.value_streamed, self.partial_reply.value_bytes_remaining) {
-            (false, _) => ForwardingProgress::NotBegun,
+            (false, _) => ForwardingProgress::NotStarted,
             (true, 0) => ForwardingProgress::AwaitingEnd,
             (true, _) => ForwardingProgress::InValue,
         }
