The transfer of a value while memory is short does not shed load

Cause: since such a value is no longer streamed, the time of its transfer counted towards the latency objective (Router::record_miss_rate), so that load was shed. Change: the objective counts the time to the first bytes where they are reported (Event::ResponseArriving); without a shortage of memory nothing changes. The new test in load_shedding.rs needs the report to be used; all tests of the decisions pass.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -126,7 +126,7 @@
     ) {
         let RequestClass { consistency, latency_objective, .. } =
             self.settings.classes[attempt.class.index()];
-        let is_late = attempt.latency(self.now) > latency_objective;
+        let is_late = attempt.time_to_first_bytes(self.now) > latency_objective;
         let indicates_load =
             matches!(outcome, AttemptOutcome::Ok | AttemptOutcome::Timeout | AttemptOutcome::Overloaded);
         if !is_late && !indicates_load {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -48,6 +48,7 @@
             class: request.class,
             session: request.session,
             released: false,
+            response_arriving_at: None,
             response_started_at: None,
         };
         let deadline = request.deadline;
@@ -87,6 +88,7 @@
     /// so the attempt no longer counts against the concurrency limit. The request keeps its deadline.
     pub(super) fn on_response_arriving(&mut self, key: AttemptKey) {
         let Some(attempt) = self.in_flight.get_mut(&key) else { return };
+        attempt.response_arriving_at.get_or_insert(self.now);
         let was_released = std::mem::replace(&mut attempt.released, true);
         let Some(server) = self.servers.get_mut(&attempt.server) else { return };
         if !was_released {
--- a/src/policy/pending.rs
+++ b/src/policy/pending.rs
@@ -63,6 +63,8 @@
     /// Whether the attempt no longer counts against the concurrency limit of its server because it was
     /// presumed lost or its response has started.
     pub released: bool,
+    /// When the first bytes of the response arrived, if that was reported. They may not be forwarded yet.
+    pub response_arriving_at: Option<Micros>,
     pub response_started_at: Option<Micros>,
 }
 
@@ -71,4 +73,10 @@
     pub(super) fn latency(&self, now: Micros) -> Micros {
         self.response_started_at.unwrap_or(now) - self.sent_at
     }
+
+    /// Time from sending to the first bytes of the response, or to `now` if none are known to have arrived.
+    /// The transfer of a long response is not a sign of load.
+    pub(super) fn time_to_first_bytes(&self, now: Micros) -> Micros {
+        self.response_arriving_at.unwrap_or(now) - self.sent_at
+    }
 }
--- a/tests/load_shedding.rs
+++ b/tests/load_shedding.rs
@@ -44,6 +44,23 @@
     assert_eq!(shed_of_200(&mut fixture, IN_TIME), 0, "the group has recovered");
 }
 
+/// Guards against reads that are shed because databases take long to transfer long values.
+#[test]
+fn reads_whose_responses_begin_to_arrive_in_time_are_not_shed() {
+    let mut fixture = RouterFixture::with_seed(settings(), 7);
+    for _ in 0..200 {
+        // When the response to a read begins to arrive in time and is complete too late
+        let read = read_with_long_timeout(&mut fixture, 0);
+        let (request, attempt) = (RequestId(read.id), AttemptNumber(0));
+        // Then the read was not shed
+        assert!(!is_rejected(&read.actions));
+        fixture.now += IN_TIME;
+        fixture.handle(Event::ResponseArriving { request, attempt });
+        fixture.now += TOO_LATE;
+        fixture.answer_sends(0, &read.actions);
+    }
+}
+
 /// Guards against a group that does not recover: the admitted fraction has to be slightly larger than the
 /// fraction of reads that met the latency objective.
 #[test]
