--- a/src/interface/results.rs
+++ b/src/interface/results.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Result of an attempt. The caller reports exactly one for each [`Action::Send`].
+/// Result of an attempt. The caller reports exactly one for each [`Action::Send`](super::Action::Send).
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptResult {
     /// The request that the attempt belongs to.
